--- /dev/null
+++ b/admit.go
@@ -0,0 +1,131 @@
+package chalkrack
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// The shed level rests where a fifth of answers are late or half of the
+	// sends turned away, which costs only an attempt.
+	lateStep = 0.04
+	fullStep = 0.01
+	calmStep = 0.01
+	// A balancer of fewer than calmRate sends a second takes larger steps, by
+	// gainMax at most. Guards against a level that outlives its cause.
+	calmRate = 8.0
+	gainMax  = 4.0
+	// shedSlack is the level that chance alone gives a calm fleet.
+	shedSlack = 0.06
+	shedMax   = 0.99 // not less: clients try again, and what is let in at each try adds up
+	// arrivalMemory is how many arrivals the classes' shares look back on.
+	arrivalMemory = 100
+	// Where nearly all is shed, the level fades by itself after shedHold without an
+	// outcome. Fading all the time, quiet balancers rested at three quarters late.
+	shedMemory = 8 * time.Second
+	shedHold   = time.Second
+	shareBurst = 4 * time.Second
+)
+
+type admitter struct {
+	cfg     *Config
+	level   float64
+	at      time.Duration // of the last change of level
+	share   []float64     // of arrivals, by rank: class, then class above share
+	ranked  []int
+	tenants []bucket
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+func (b *bucket) refill(rate, burst float64, now time.Duration) {
+	b.tokens, b.at = min(b.tokens+rate*(now-b.at).Seconds(), max(1, burst)), now
+}
+
+func newAdmitter(cfg *Config) admitter {
+	n := 2 * len(cfg.Classes)
+	a := admitter{cfg: cfg, share: make([]float64, n), tenants: make([]bucket, len(cfg.Tenants))}
+	for i := range n {
+		a.ranked = append(a.ranked, i)
+	}
+	for i := range cfg.Classes {
+		a.share[i] = 1 / float64(len(cfg.Classes))
+	}
+	for i, allowed := range cfg.Tenants {
+		a.tenants[i].tokens = allowed / float64(cfg.Instances) * shareBurst.Seconds()
+	}
+	slices.SortStableFunc(a.ranked, func(i, j int) int { return cmp.Compare(a.worth(i), a.worth(j)) })
+	return a
+}
+
+// worth is by work, of which the aim is the only sign.
+func (a *admitter) worth(rank int) float64 {
+	if c := rank - len(a.cfg.Classes); c >= 0 {
+		return a.worth(c) * a.cfg.OverShareWorth
+	}
+	return a.cfg.Classes[rank].Worth / a.cfg.Classes[rank].Aim.Seconds()
+}
+
+func (a *admitter) meanWorth() (m float64) {
+	for r, share := range a.share {
+		m += share * a.worth(r%len(a.cfg.Classes))
+	}
+	return m
+}
+
+// arrived counts an arrival and returns its rank.
+func (a *admitter) arrived(class, tenant int, now time.Duration) int {
+	if tenant >= 0 && tenant < len(a.tenants) {
+		rate := a.cfg.Tenants[tenant] / float64(a.cfg.Instances)
+		t := &a.tenants[tenant]
+		t.refill(rate, rate*shareBurst.Seconds(), now)
+		if t.tokens >= 1 {
+			t.tokens--
+		} else {
+			class += len(a.cfg.Classes)
+		}
+	}
+	for i := range a.share {
+		a.share[i] *= 1 - 1.0/arrivalMemory
+	}
+	a.share[class] += 1.0 / arrivalMemory
+	return class
+}
+
+// odds is the probability with which a request of the rank is shed now.
+func (a *admitter) odds(rank int, now time.Duration) float64 {
+	left := a.faded(now) - shedSlack
+	for _, r := range a.ranked {
+		if left <= 0 {
+			return 0
+		}
+		if r == rank {
+			return min(left/max(a.share[r], 0.01), shedMax)
+		}
+		left -= a.share[r] * shedMax
+	}
+	return 0
+}
+
+// faded is the level less what it has lost since the last outcome.
+func (a *admitter) faded(now time.Duration) float64 {
+	return a.level * fade(max(0, now-a.at-shedHold), shedMemory)
+}
+
+// outcome feeds the level with one attempt's end; rate is of sends a second.
+func (a *admitter) outcome(full, late bool, rate float64, now time.Duration) {
+	a.level, a.at = a.faded(now), now
+	gain := max(1, min(calmRate/max(rate, 0.1), gainMax))
+	step := -calmStep
+	if late {
+		step = lateStep
+	} else if full {
+		step = fullStep
+	}
+	a.level = max(0, min(a.level+gain*step, 1))
+}
--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,248 @@
+package chalkrack
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// recorder is a Host that writes down what it is asked.
+type recorder struct {
+	got     []string
+	servers []string // by send
+	timers  []uint64
+	delays  []time.Duration
+}
+
+func (r *recorder) say(format string, args ...any) {
+	r.got = append(r.got, fmt.Sprintf(format, args...))
+}
+func (r *recorder) Send(id RequestID, server string, _ time.Duration) {
+	r.servers = append(r.servers, server)
+	r.say("send %d", id)
+}
+func (r *recorder) Cancel(id RequestID, n int)           { r.say("cancel %d/%d", id, n) }
+func (r *recorder) Refuse(id RequestID, _ time.Duration) { r.say("refuse %d", id) }
+func (r *recorder) Fail(id RequestID)                    { r.say("fail %d", id) }
+func (r *recorder) CloseIdle(server string)              {}
+func (r *recorder) Probe(server string)                  { r.say("probe %s", server) }
+func (r *recorder) Subscribe()                           { r.say("subscribe") }
+func (r *recorder) SetTimer(c uint64, after time.Duration) {
+	r.timers = append(r.timers, c)
+	r.delays = append(r.delays, after)
+}
+
+func testConfig() Config {
+	return Config{
+		Instances: 3, MaxAttempts: 4, MayCancel: true, SecondCopies: true,
+		ColdFrom: 0.2, ColdFor: 10 * time.Second, OverloadFactor: 3, OverloadFor: 2 * time.Second,
+		Classes: []Class{
+			{Aim: 100 * ms, Worth: 1},
+			{Aim: 100 * ms, Worth: 1, Effect: Keyed, Scope: ScopeZone, Window: 200 * ms},
+			{Aim: 100 * ms, Worth: 1, Effect: Unsafe},
+		},
+	}
+}
+
+func newTest(t *testing.T, cfg Config, servers ...Endpoint) (*Balancer, *recorder) {
+	t.Helper()
+	r := new(recorder)
+	b, err := New(cfg, 1, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.ServersListed(0, servers)
+	return b, r
+}
+
+// without copies: the draw for one always fails.
+func (b *Balancer) noCopies() { b.reissue.q = 0 }
+
+func TestFurtherAttempts(t *testing.T) {
+	two := []Endpoint{{Name: "a", Zone: "z"}, {Name: "b", Zone: "z"}}
+	apart := []Endpoint{{Name: "a", Zone: "y"}, {Name: "b", Zone: "z"}}
+	for _, c := range []struct {
+		name    string
+		class   int
+		servers []Endpoint
+		o       Outcome
+		at      time.Duration
+		want    []string
+	}{
+		{"safe after error", 0, two, ServerError, ms, []string{"send 1", "send 1"}},
+		{"safe after full", 0, two, Full, ms, []string{"send 1", "send 1"}},
+		{"unsafe after full", 2, two, Full, ms, []string{"send 1", "send 1"}},
+		{"unsafe after no connection", 2, two, ConnectFailed, ms, []string{"send 1", "send 1"}},
+		{"unsafe after error", 2, two, ServerError, ms, []string{"send 1", "fail 1"}},
+		{"unsafe after reset", 2, two, Reset, ms, []string{"send 1", "fail 1"}},
+		{"unsafe after timeout", 2, two, TimedOut, ms, []string{"send 1", "fail 1"}},
+		{"unsafe after cancel", 2, two, Cancelled, ms, []string{"send 1", "fail 1"}},
+		{"keyed in its group", 1, two, Reset, ms, []string{"send 1", "send 1"}},
+		{"keyed out of its group", 1, apart, Reset, ms, []string{"send 1", "fail 1"}},
+		{"keyed never ran, any group", 1, apart, Full, ms, []string{"send 1", "send 1"}},
+		{"nobody left to try", 2, two[:1], Full, ms, []string{"send 1", "refuse 1"}},
+		{"past the aim", 0, two, Reset, 100 * ms, []string{"send 1", "refuse 1"}},
+		{"unsafe past the aim", 2, two, Reset, 100 * ms, []string{"send 1", "fail 1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, r := newTest(t, testConfig(), c.servers...)
+			b.noCopies()
+			b.Arrive(0, Request{ID: 1, Class: c.class, Deadline: 300 * ms})
+			b.Done(c.at, 1, 0, c.o, false, Report{})
+			if !slices.Equal(r.got, c.want) {
+				t.Errorf("got %v, want %v", r.got, c.want)
+			}
+			if len(r.servers) == 2 && r.servers[0] == r.servers[1] {
+				t.Errorf("both attempts went to %s", r.servers[0])
+			}
+		})
+	}
+}
+
+// Where only probes tell loads, a request waits for its probes and then goes to
+// the less loaded server; where that one cannot answer within the aim, it is
+// refused at once. Without, quiet balancers fed jams that they could not see.
+func TestProbesFirst(t *testing.T) {
+	cfg := testConfig()
+	cfg.Probes = true
+	b, r := newTest(t, cfg, Endpoint{Name: "a"}, Endpoint{Name: "b"})
+	b.noCopies()
+	arrive := func(id RequestID, deadline time.Duration, a, bb float64) {
+		r.got, r.delays = nil, nil
+		b.Arrive(0, Request{ID: id, Deadline: deadline})
+		if len(r.got) != probesEach {
+			t.Fatalf("asked %v on arrival, want %d probes", r.got, probesEach)
+		}
+		b.Probed(0, "a", Report{HasInFlight: true, InFlight: a})
+		b.Probed(0, "b", Report{HasInFlight: true, InFlight: bb})
+		b.Probed(0, "gone", Report{})
+		r.got = nil
+		b.Timer(0, r.timers[len(r.timers)-1])
+	}
+	for id := RequestID(1); id <= 10; id++ {
+		arrive(id, 300*ms, 5, 0)
+		if got := r.servers[id-1]; got != "b" {
+			t.Errorf("request %d went to the loaded %s", id, got)
+		}
+		b.Done(20*ms, id, 0, OK, true, Report{})
+	}
+	arrive(11, 300*ms, 90, 90)
+	if !slices.Equal(r.got, []string{"refuse 11"}) {
+		t.Errorf("got %v where the aim is out of reach, want a refusal", r.got)
+	}
+	arrive(12, 2*ms, 0, 0)
+	if r.delays[0] > ms {
+		t.Errorf("waits %v for probes with 2 ms left", r.delays[0])
+	}
+}
+
+// Probes that cost more than they can win are not sent.
+func TestDearProbes(t *testing.T) {
+	cfg := testConfig()
+	cfg.Probes, cfg.ProbeCost = true, 2*probePrice/probesEach
+	b, r := newTest(t, cfg, Endpoint{Name: "a"})
+	b.Arrive(0, Request{ID: 1, Deadline: 300 * ms})
+	if !slices.Contains(r.got, "send 1") {
+		t.Errorf("got %v, want a send at once", r.got)
+	}
+}
+
+func TestHedgeAndCancel(t *testing.T) {
+	b, r := newTest(t, testConfig(), Endpoint{Name: "a"}, Endpoint{Name: "b"})
+	b.reissue.q, b.reissue.d, b.reissue.tokens = 1, 0.5, 3
+	b.Arrive(0, Request{ID: 1, Deadline: 300 * ms})
+	if len(r.delays) != 1 || r.delays[0] != 50*ms {
+		t.Fatalf("timers %v, want one after half the aim", r.delays)
+	}
+	b.Timer(50*ms, r.timers[0])
+	b.requests[1].wholePair = false
+	b.Done(60*ms, 1, 1, OK, true, Report{})
+	b.Done(60*ms, 1, 0, Cancelled, true, Report{})
+	if want := []string{"send 1", "send 1", "cancel 1/0"}; !slices.Equal(r.got, want) {
+		t.Errorf("got %v, want %v", r.got, want)
+	}
+	if n := len(b.requests) + len(b.timers); n != 0 {
+		t.Errorf("%d requests and timers kept after the end", n)
+	}
+	if p := b.reissue.primary.buf; len(p) != 1 || !p[0].censored {
+		t.Errorf("primary log %v, want one censored sample", p)
+	}
+}
+
+// A retry budget binds all but the dearest: where all queues are full, retries
+// only push others out.
+func TestRetryBudget(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[2].Worth = 20
+	b, r := newTest(t, cfg, fleetOf(4)...)
+	for id := RequestID(1); id <= 200; id++ {
+		b.noCopies()
+		now := time.Duration(id) * 10 * ms
+		class := int(id%10/9) * 2 // a tenth is dear
+		b.admit.level = 0
+		b.Arrive(now, Request{ID: id, Class: class, Tenant: -1, Deadline: now + 300*ms})
+		for n := 0; b.requests[id] != nil; n++ {
+			b.Done(now, id, n, Full, false, Report{})
+		}
+	}
+	sends := make(map[bool]int)
+	for _, did := range r.got {
+		var id int
+		if _, err := fmt.Sscanf(did, "send %d", &id); err == nil {
+			sends[id%10 == 9]++
+		}
+	}
+	if dear := sends[true]; dear != 20*cfg.MaxAttempts {
+		t.Errorf("%d sends of 20 dear requests, want all %d attempts each", dear, cfg.MaxAttempts)
+	}
+	if cheap := sends[false]; cheap < 180+40 || cheap > 180+80 {
+		t.Errorf("%d sends of 180 cheap requests, want about %v retries a request", cheap, retryBudget)
+	}
+}
+
+// In an overload copies only add to what comes late: while the balancer sheds, a
+// planned copy is not sent.
+func TestNoCopiesWhileShedding(t *testing.T) {
+	for _, level := range []float64{0, 0.5} {
+		b, r := newTest(t, testConfig(), fleetOf(4)...)
+		b.reissue.q = 1
+		b.Arrive(0, Request{ID: 1, Tenant: -1, Deadline: time.Second})
+		b.admit.level = level
+		b.Timer(10*ms, r.timers[0])
+		if copied := len(r.servers) == 2; copied != (level == 0) {
+			t.Errorf("level %v: copied %v", level, copied)
+		}
+	}
+}
+
+// A jam must be heard of at the aim, not only by the time-outs seconds later, and
+// each request counts once.
+func TestOverdueCountsAsLate(t *testing.T) {
+	b, r := newTest(t, testConfig(), fleetOf(4)...)
+	b.reissue.q = 0
+	b.Arrive(0, Request{ID: 1, Class: 2, Tenant: -1, Deadline: time.Second})
+	b.Timer(100*ms, r.timers[0])
+	level := b.admit.level
+	if level <= 0 {
+		t.Error("unanswered at its aim: the shed level did not rise")
+	}
+	b.Done(150*ms, 1, 0, OK, true, Report{})
+	if b.admit.level != level {
+		t.Errorf("level %v after the late answer, want still %v", b.admit.level, level)
+	}
+}
+
+// The timer at the aim is never one for a copy, not even from a host whose clock
+// cuts fractions off and fires a little early.
+func TestAimTimerSendsNoCopy(t *testing.T) {
+	b, r := newTest(t, testConfig(), fleetOf(4)...)
+	b.reissue.q = 0
+	b.Arrive(0, Request{ID: 1, Tenant: -1, Deadline: time.Second})
+	b.Timer(100*ms-1, r.timers[0])
+	if len(r.servers) != 1 {
+		t.Errorf("%d sends without a copy drawn, want 1", len(r.servers))
+	}
+}
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,62 @@
+package chalkrack_test
+
+import (
+	"fmt"
+	"time"
+
+	"chalkrack"
+)
+
+// printer is a Host that prints what it is asked. A real one would do it, and
+// report each attempt's end and each timer back to the balancer.
+type printer struct{ timers []uint64 }
+
+func (p *printer) Send(id chalkrack.RequestID, server string, _ time.Duration) {
+	fmt.Printf("send request %d to %s\n", id, server)
+}
+func (p *printer) Cancel(id chalkrack.RequestID, attempt int) {
+	fmt.Printf("cancel attempt %d of request %d\n", attempt, id)
+}
+func (p *printer) Refuse(id chalkrack.RequestID, _ time.Duration) {
+	fmt.Printf("refuse request %d\n", id)
+}
+func (p *printer) Fail(id chalkrack.RequestID)             { fmt.Printf("fail request %d\n", id) }
+func (p *printer) SetTimer(cookie uint64, _ time.Duration) { p.timers = append(p.timers, cookie) }
+func (p *printer) CloseIdle(string)                        {}
+func (p *printer) Probe(string)                            {}
+func (p *printer) Subscribe()                              {}
+
+// A request, its copy, and the loser called off. A new balancer knows no response
+// times yet and copies one request in ten at once; this seed's first is one.
+func Example() {
+	host := new(printer)
+	b, err := chalkrack.New(chalkrack.Config{
+		Instances:    1,
+		MaxAttempts:  3,
+		MayCancel:    true,
+		SecondCopies: true,
+		Classes:      []chalkrack.Class{{Aim: 200 * time.Millisecond, Worth: 1}},
+	}, 9, host)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now := time.Duration(0)
+	b.ServersListed(now, []chalkrack.Endpoint{{Name: "red"}, {Name: "blue"}})
+
+	b.Arrive(now, chalkrack.Request{ID: 7, Tenant: -1, Deadline: now + time.Second})
+	now += time.Millisecond
+	b.Timer(now, host.timers[0]) // the copy's delay is over
+
+	now += 30 * time.Millisecond
+	b.Done(now, 7, 1, chalkrack.OK, true, chalkrack.Report{}) // the copy answers first
+	b.Done(now, 7, 0, chalkrack.Cancelled, true, chalkrack.Report{})
+
+	_, err = chalkrack.New(chalkrack.Config{Instances: 1, MaxAttempts: 3}, 1, host)
+	fmt.Println(err)
+	// Output:
+	// send request 7 to blue
+	// send request 7 to red
+	// cancel attempt 0 of request 7
+	// chalkrack: config: Classes must be non-empty
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,233 @@
+// Package discovery follows the list of servers.
+package discovery
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"chalkrack"
+)
+
+const (
+	lineMost = 8 << 20 // of one line of a watch
+	// An empty line comes every 2 s: a watch that is silent for longer is dead,
+	// and what it fails to tell counts as told within seconds all the same.
+	silenceMost = 2700 * time.Millisecond
+	dialMost    = time.Second
+	backoffMin  = 20 * time.Millisecond
+	backoffMax  = 500 * time.Millisecond
+)
+
+// Entry is one server on the list.
+type Entry struct {
+	chalkrack.Endpoint
+	Address string
+}
+
+// List is a list of servers, or of those that changed.
+type List struct {
+	Index   int64
+	Whole   bool
+	Entries []Entry
+}
+
+// Parse reads a list in discovery's form. An entry that is of no use is left out.
+func Parse(data []byte) (*List, error) {
+	var raw struct {
+		Index     *int64
+		Snapshot  bool
+		Endpoints []json.RawMessage
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if raw.Index == nil {
+		return nil, errors.New("discovery: a list without index")
+	}
+	l := &List{Index: *raw.Index, Whole: raw.Snapshot, Entries: make([]Entry, 0, len(raw.Endpoints))}
+	for _, r := range raw.Endpoints {
+		e, err := parseEntry(r)
+		if err != nil {
+			slog.Warn("entry of the server list skipped", "entry", string(r[:min(len(r), 200)]), "err", err)
+			continue
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return l, nil
+}
+
+var states = map[string]chalkrack.State{"up": chalkrack.Serving, "draining": chalkrack.Draining, "removed": chalkrack.Gone}
+
+func parseEntry(data []byte) (Entry, error) {
+	var raw struct {
+		Name, Address, Zone, Status string
+		Group                       int
+		Weight                      float64
+		SinceMs                     float64 `json:"since_ms"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return Entry{}, err
+	}
+	state, ok := states[raw.Status]
+	switch {
+	case raw.Name == "":
+		return Entry{}, errors.New("no name")
+	case !ok:
+		return Entry{}, fmt.Errorf("unknown status %q", raw.Status)
+	case raw.SinceMs < 0 || raw.SinceMs > math.MaxInt64/1e6:
+		return Entry{}, errors.New("since_ms out of range")
+	}
+	if state != chalkrack.Gone {
+		if _, _, err := net.SplitHostPort(raw.Address); err != nil {
+			return Entry{}, err
+		}
+	}
+	return Entry{
+		Endpoint: chalkrack.Endpoint{
+			Name:    raw.Name,
+			Zone:    raw.Zone,
+			Group:   raw.Group,
+			Hint:    raw.Weight,
+			Started: time.Duration(raw.SinceMs * float64(time.Millisecond)),
+			State:   state,
+		},
+		Address: raw.Address,
+	}, nil
+}
+
+// Watcher follows the list at an address.
+type Watcher struct {
+	Addr   string
+	Index  int64
+	Listed func(*List)
+	Failed func(error)
+	Wait   time.Duration // how long an answer may take to begin
+
+	mu   sync.Mutex
+	conn net.Conn
+	shut bool
+}
+
+// Follow keeps a watch open until Close, and calls Failed at each break.
+func (w *Watcher) Follow() {
+	backoff := backoffMin
+	for !w.closed() {
+		began := time.Now()
+		err := w.Watch()
+		if w.closed() {
+			return
+		}
+		w.Failed(err)
+		if time.Since(began) > time.Second {
+			backoff = backoffMin
+		}
+		time.Sleep(backoff/2 + rand.N(backoff))
+		backoff = min(2*backoff, backoffMax)
+	}
+}
+
+// Close ends the watch.
+func (w *Watcher) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.shut = true
+	if w.conn != nil {
+		w.conn.Close()
+	}
+}
+
+func (w *Watcher) closed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.shut
+}
+
+// Watch opens one watch and hands on what it brings until it ends.
+func (w *Watcher) Watch() error {
+	d := net.Dialer{Timeout: dialMost, KeepAlive: -1}
+	conn, err := d.Dial("tcp", w.Addr)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	defer conn.Close()
+	w.mu.Lock()
+	w.conn = conn
+	shut := w.shut
+	w.mu.Unlock()
+	if shut {
+		return net.ErrClosed
+	}
+	path := "/catalog/members?watch=1"
+	if w.Index > 0 {
+		path += fmt.Sprintf("&after=%d", w.Index)
+	}
+	conn.SetDeadline(time.Now().Add(w.Wait))
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: discovery\r\n\r\n", path); err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	br := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("discovery: answered %s", resp.Status)
+	}
+	lines := bufio.NewReader(resp.Body)
+	for first := true; ; first = false {
+		if !first {
+			conn.SetDeadline(time.Now().Add(silenceMost))
+		}
+		line, err := readLine(lines)
+		if err == nil && len(line) > 1 {
+			err = w.take(line)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func readLine(br *bufio.Reader) (line []byte, err error) {
+	for {
+		part, err := br.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return line, nil
+		case err != bufio.ErrBufferFull:
+			if len(line) > 0 && err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, fmt.Errorf("discovery: watch ended: %w", err)
+		case len(line) > lineMost:
+			return nil, errors.New("discovery: line too long")
+		}
+	}
+}
+
+// take hands a line on. After one that can't be read, or that has gone back, the
+// next watch asks for the whole list: the one held can't be relied on to go on from.
+func (w *Watcher) take(line []byte) error {
+	l, err := Parse(line)
+	if err == nil && !l.Whole && l.Index < w.Index {
+		err = fmt.Errorf("discovery: changes of version %d after version %d", l.Index, w.Index)
+	}
+	if err != nil {
+		w.Index = 0
+		return err
+	}
+	w.Index = l.Index
+	w.Listed(l)
+	return nil
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,151 @@
+package discovery
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkrack"
+)
+
+const patience = 20 * time.Second
+
+func entry(name string) string {
+	return fmt.Sprintf(`{"name":%q,"address":"127.0.0.1:1","zone":"a","group":3,"status":"up","weight":1.5,"since_ms":2}`, name)
+}
+
+func list(index int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`+"\n", index, whole, strings.Join(entries, ","))
+}
+
+func TestParse(t *testing.T) {
+	l, err := Parse([]byte(list(7, true, entry("s"), `{"name":"t","status":"removed"}`)))
+	if err != nil || l.Index != 7 || !l.Whole || len(l.Entries) != 2 {
+		t.Fatalf("%+v, %v", l, err)
+	}
+	want := chalkrack.Endpoint{Name: "s", Zone: "a", Group: 3, Hint: 1.5, Started: 2 * time.Millisecond}
+	if e := l.Entries[0]; e.Endpoint != want || e.Address != "127.0.0.1:1" {
+		t.Errorf("%+v", e)
+	}
+	if l.Entries[1].State != chalkrack.Gone {
+		t.Errorf("%+v", l.Entries[1])
+	}
+	for _, bad := range []string{`{"status":"up","address":"a:1"}`, `{"name":"x","status":"odd","address":"a:1"}`,
+		`{"name":"x","status":"up","address":"nowhere"}`, `{"name":"x","status":"up","address":"a:1","since_ms":-1}`, `7`} {
+		l, err := Parse([]byte(list(7, true, bad, entry("s"))))
+		if err != nil || len(l.Entries) != 1 || l.Entries[0].Name != "s" {
+			t.Errorf("%s: %+v, %v", bad, l, err)
+		}
+	}
+	for _, bad := range []string{"", "{", `{"snapshot":true,"endpoints":[]}`, `[]`} {
+		if _, err := Parse([]byte(bad)); err == nil {
+			t.Errorf("%q passed", bad)
+		}
+	}
+}
+
+// play serves watches from scripts, one a connection, and returns what a
+// Watcher makes of them: each query, and the names that each list brings.
+func play(t *testing.T, want int, scripts ...func(net.Conn)) (queries, lists []string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	asked := make(chan string, 100)
+	got := make(chan string, 100)
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				asked <- r.URL.RawQuery
+				scripts[min(n, len(scripts)-1)](c)
+			}()
+		}
+	}()
+	w := &Watcher{Addr: ln.Addr().String(), Wait: patience, Failed: func(error) {}}
+	w.Listed = func(l *List) {
+		var names []string
+		for _, e := range l.Entries {
+			names = append(names, e.Name)
+		}
+		got <- strings.Join(names, " ")
+	}
+	over := make(chan struct{})
+	go func() { w.Follow(); close(over) }()
+	for range want {
+		select {
+		case s := <-got:
+			lists = append(lists, s)
+		case <-time.After(patience):
+			t.Fatalf("only %q came", lists)
+		}
+	}
+	w.Close()
+	<-over
+	for len(asked) > 0 {
+		queries = append(queries, <-asked)
+	}
+	return queries, lists
+}
+
+// say answers a watch with lines and then stays silent until the other end closes.
+func say(end bool, lines ...string) func(net.Conn) {
+	return func(c net.Conn) {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for _, l := range lines {
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(l), l)
+		}
+		if !end {
+			c.Read(make([]byte, 1))
+		}
+	}
+}
+
+func TestWatch(t *testing.T) {
+	whole := list(5, true, entry("a"))
+	for _, c := range []struct {
+		name    string
+		scripts []func(net.Conn)
+		queries []string
+		lists   []string
+	}{
+		{"goes on after its end", []func(net.Conn){say(true, whole, "\n"), say(false, list(6, false, entry("b")))},
+			[]string{"watch=1", "watch=1&after=5"}, []string{"a", "b"}},
+		{"a line that does not parse", []func(net.Conn){say(false, whole, "nonsense\n"), say(false, list(6, true, entry("b")))},
+			[]string{"watch=1", "watch=1"}, []string{"a", "b"}},
+		{"a line cut short", []func(net.Conn){say(true, whole, list(6, false, entry("x"))[:20]), say(false, list(6, false, entry("b")))},
+			[]string{"watch=1", "watch=1&after=5"}, []string{"a", "b"}},
+		{"a version that goes back", []func(net.Conn){say(false, whole, list(2, false, entry("x"))), say(false, list(2, true, entry("b")))},
+			[]string{"watch=1", "watch=1"}, []string{"a", "b"}},
+		{"a whole list of a version that goes back", []func(net.Conn){say(true, whole, list(2, true, entry("b"))), say(false, list(3, false, entry("c")))},
+			[]string{"watch=1", "watch=1&after=2"}, []string{"a", "b", "c"}},
+		{"an error", []func(net.Conn){func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") }, say(false, whole)},
+			[]string{"watch=1", "watch=1"}, []string{"a"}},
+		// Guards against a watch whose other end has vanished without a word.
+		{"silence", []func(net.Conn){say(false, whole), say(false, list(6, false, entry("b")))},
+			[]string{"watch=1", "watch=1&after=5"}, []string{"a", "b"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			queries, lists := play(t, len(c.lists), c.scripts...)
+			if !slices.Equal(queries, c.queries) || !slices.Equal(lists, c.lists) {
+				t.Errorf("asked %q, got %q", queries, lists)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,442 @@
+// Package front is the sidecar's side towards its client: it accepts
+// connections, reads requests, writes answers and notices a client that leaves.
+package front
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	headMost     = 64 << 10
+	bodyMost     = 32 << 20
+	headWait     = 2500 * time.Millisecond
+	headPatience = time.Second
+	// How long a piece of a body may take: honest clients send 64 kB a second.
+	pieceWait = 4 * time.Second
+	// A client that takes nothing of its answer for so long has hung.
+	writeMost = 10 * time.Second
+	// How long a refused connection is read off, so that its client sees why.
+	lingerMost = 2 * time.Second
+	freshMost  = 500 * time.Millisecond
+)
+
+// Handler takes requests. Each Exchange that arrives is ended once, by one of
+// its own methods, or by Gone, and released when its body is not needed.
+type Handler interface {
+	Arrive(x *Exchange)
+	// Gone says that the client has left; false if an answer is under way.
+	Gone(x *Exchange) bool
+	// Ready says whether clients may come.
+	Ready() bool
+	// Known says whether there is a class of that name.
+	Known(class string) bool
+}
+
+// Config is what a Server is told.
+type Config struct {
+	MostConns int   // client connections at once
+	MostBody  int64 // bytes of request bodies held at once
+}
+
+// Server serves the client.
+type Server struct {
+	cfg     Config
+	handler Handler
+	budget  budget
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
+}
+
+type conn struct {
+	srv *Server
+	nc  net.Conn
+	in  capped
+	br  *bufio.Reader
+
+	busy   bool // a request is being read or answered
+	head   bool
+	shut   bool // closed by the sidecar
+	fresh  bool
+	since  time.Time
+	served sync.Cond // x became nil
+	x      *Exchange // the request that waits for its answer
+}
+
+// capped is a connection's input, which ends after left bytes. Guards against a
+// head without end, which the parser would keep whole.
+type capped struct {
+	net.Conn
+	left int64
+}
+
+var errLongHead = errors.New("front: head too long")
+
+func (r *capped) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := r.Conn.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
+// New returns a Server that hands requests to h.
+func New(cfg Config, h Handler) *Server {
+	return &Server{cfg: cfg, handler: h, budget: budget{left: cfg.MostBody}, conns: make(map[*conn]struct{})}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return err
+			}
+			// Out of descriptors or the like: it passes, and connections wait meanwhile.
+			slog.Warn("can't accept", "err", err)
+			s.evict()
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		s.add(nc)
+	}
+}
+
+func (s *Server) add(nc net.Conn) {
+	c := &conn{srv: s, nc: nc, in: capped{Conn: nc}, fresh: true, since: time.Now()}
+	c.br = bufio.NewReaderSize(&c.in, 4<<10)
+	c.served.L = &s.mu
+	s.mu.Lock()
+	full := len(s.conns) >= s.cfg.MostConns
+	s.mu.Unlock()
+	crowded := full && !s.evict()
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	go c.serve(crowded)
+}
+
+func (s *Server) evict() bool {
+	s.mu.Lock()
+	var oldest, slowest *conn
+	for c := range s.conns {
+		switch {
+		case c.shut:
+		case !c.busy:
+			if oldest == nil || c.since.Before(oldest.since) {
+				oldest = c
+			}
+		case c.head && time.Since(c.since) > headPatience:
+			if slowest == nil || c.since.Before(slowest.since) {
+				slowest = c
+			}
+		}
+	}
+	if oldest == nil {
+		oldest = slowest
+	}
+	if oldest != nil {
+		oldest.shut = true
+		delete(s.conns, oldest)
+	}
+	s.mu.Unlock()
+	if oldest != nil {
+		oldest.nc.Close()
+	}
+	return oldest != nil
+}
+
+// Drain readies for the end: idle connections are closed, the others after
+// their next answer. New ones are still served.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.draining = true
+	var idle []*conn
+	for c := range s.conns {
+		if !c.busy && !c.shut && !c.fresh {
+			c.shut = true
+			idle = append(idle, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range idle {
+		c.nc.Close()
+	}
+}
+
+// Busy is the number of connections with a request, or about to bring one.
+func (s *Server) Busy() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.busy || c.fresh && time.Since(c.since) < freshMost {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Server) tally() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var fresh, idle, heads, bodies, waiting int
+	for c := range s.conns {
+		switch {
+		case c.x != nil:
+			waiting++
+		case c.head:
+			heads++
+		case c.busy:
+			bodies++
+		case c.fresh:
+			fresh++
+		default:
+			idle++
+		}
+	}
+	return fmt.Sprintf("%d without a byte, %d idle, %d in a head, %d in a body, %d waiting", fresh, idle, heads, bodies, waiting)
+}
+
+// Conns is the number of client connections.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// serve is a connection's goroutine. On a crowded server it refuses the one
+// request of its connection.
+func (c *conn) serve(crowded bool) {
+	defer c.close()
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("panic at a client connection", "panic", p, "stack", string(debug.Stack()))
+			c.srv.mu.Lock()
+			x := c.x
+			c.srv.mu.Unlock()
+			if x != nil && c.srv.handler.Gone(x) {
+				x.Fail()
+			}
+		}
+	}()
+	for c.next() {
+		x, status := c.read(crowded)
+		switch {
+		case status < 0:
+			return
+		case status > 0:
+			c.reject(status)
+			return
+		case x == nil:
+		default:
+			c.srv.mu.Lock()
+			c.x = x
+			c.srv.mu.Unlock()
+			c.srv.handler.Arrive(x)
+		}
+	}
+}
+
+func (c *conn) next() bool {
+	c.in.left = headMost
+	_, err := c.br.Peek(1)
+	s := c.srv
+	s.mu.Lock()
+	if err != nil && c.x != nil {
+		x := c.x
+		s.mu.Unlock()
+		if s.handler.Gone(x) {
+			return false
+		}
+		s.mu.Lock()
+	}
+	for c.x != nil {
+		c.served.Wait()
+	}
+	defer s.mu.Unlock()
+	if err != nil || c.shut {
+		return false
+	}
+	c.busy, c.head, c.fresh, c.since = true, true, false, time.Now()
+	return true
+}
+
+func (c *conn) close() {
+	c.srv.mu.Lock()
+	c.shut = true
+	c.srv.mu.Unlock()
+	c.nc.Close()
+}
+
+func (c *conn) read(crowded bool) (*Exchange, int) {
+	c.nc.SetReadDeadline(time.Now().Add(headWait))
+	r, err := http.ReadRequest(c.br)
+	c.srv.mu.Lock()
+	c.head = false
+	c.srv.mu.Unlock()
+	if err != nil {
+		var ne net.Error
+		switch {
+		case errors.Is(err, errLongHead):
+			return nil, http.StatusRequestHeaderFieldsTooLarge
+		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &ne):
+			return nil, -1
+		}
+		return nil, http.StatusBadRequest
+	}
+	c.in.left = math.MaxInt64
+	if r.ContentLength > bodyMost {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	body, kept, status := c.readBody(r)
+	if status != 0 {
+		return nil, status
+	}
+	c.nc.SetReadDeadline(time.Time{})
+	x := &Exchange{conn: c, Received: time.Now(), body: body, reserved: kept, keep: !r.Close}
+	status = x.parse(r, c.srv.handler)
+	switch {
+	case r.URL.Path == "/_health":
+		status = http.StatusOK
+		if !c.srv.handler.Ready() {
+			status = http.StatusServiceUnavailable
+		}
+	case status == 0 && (crowded || kept < 0):
+		slog.Warn("request refused at a limit", "crowded", crowded, "conns", c.srv.tally())
+		x.keep = x.keep && !crowded
+		x.Refuse(limitRetry)
+		x.Release()
+		return nil, 0
+	}
+	if status != 0 {
+		x.answer(status, "", nil, nil)
+		x.Release()
+		return nil, 0
+	}
+	return x, 0
+}
+
+// limitRetry is when a client refused at a limit may come back.
+const limitRetry = 200 * time.Millisecond
+
+// readBody reads a request's body under the byte budget. Past it the rest is
+// read off and thrown away, and kept is -1.
+func (c *conn) readBody(r *http.Request) (body [][]byte, kept int64, status int) {
+	if r.Body == http.NoBody {
+		return nil, 0, 0
+	}
+	b := &c.srv.budget
+	over := false
+	drop := func() {
+		b.give(kept)
+		body, kept = nil, 0
+	}
+	var waste []byte
+	size := int64(firstPiece)
+	for total := int64(0); ; size = pieceSize {
+		if r.ContentLength > 0 {
+			size = min(pieceSize, r.ContentLength-total)
+		}
+		if !over && !b.take(size) {
+			over = true
+			drop()
+			waste = make([]byte, pieceSize)
+		}
+		piece := waste
+		if !over {
+			kept += size
+			piece = make([]byte, size)
+		}
+		n, err := c.fill(r.Body, piece)
+		total += int64(n)
+		if !over && n > 0 {
+			body = append(body, piece[:n])
+		}
+		var ne net.Error
+		switch {
+		case total > bodyMost:
+			status = http.StatusRequestEntityTooLarge
+		case err == io.EOF, err == nil && total == r.ContentLength:
+			if over {
+				kept = -1
+			}
+			return body, kept, 0
+		case err == nil:
+			continue
+		case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
+			status = -1
+		default:
+			status = http.StatusBadRequest
+		}
+		drop()
+		return nil, 0, status
+	}
+}
+
+// fill fills p; io.EOF says that the body ended before.
+func (c *conn) fill(body io.Reader, p []byte) (n int, err error) {
+	c.nc.SetReadDeadline(time.Now().Add(pieceWait))
+	for n < len(p) && err == nil {
+		var k int
+		k, err = body.Read(p[n:])
+		n += k
+	}
+	return n, err
+}
+
+// reject answers what is no request and closes the connection, after reading off
+// what the client still sends: closing at once would take the answer back.
+func (c *conn) reject(status int) {
+	x := &Exchange{conn: c}
+	x.answer(status, "", nil, nil)
+	if tc, ok := c.nc.(*net.TCPConn); ok {
+		tc.CloseWrite()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingerMost))
+	io.CopyN(io.Discard, c.nc, bodyMost)
+}
+
+const (
+	firstPiece = 4 << 10
+	pieceSize  = 64 << 10
+)
+
+type budget struct {
+	mu   sync.Mutex
+	left int64
+}
+
+func (b *budget) take(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left < n {
+		return false
+	}
+	b.left -= n
+	return true
+}
+
+func (b *budget) give(n int64) {
+	if n > 0 {
+		b.mu.Lock()
+		b.left += n
+		b.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,161 @@
+// Package settings reads the settings of a deployment into what the balancer
+// and its hosts need of them, so that all hosts share one mapping.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"chalkrack"
+)
+
+// Settings is what a deployment's settings say.
+type Settings struct {
+	Config    chalkrack.Config
+	Deadlines []time.Duration // by class: how long a client waits at most
+
+	// What only a host on real sockets needs.
+	ConnIdle    time.Duration // a server closes a connection that has been idle for so long
+	DialTimeout time.Duration
+	DrainGrace  time.Duration
+	MostHeld    int // requests held at once
+
+	classes, tenants map[string]int
+}
+
+// env is the settings object; keys that have no use here are skipped.
+type env struct {
+	Caps struct {
+		AttemptsCap     int
+		MayCancel       bool
+		SecondCopies    bool
+		Probes          bool
+		MaxRetryAfterUs int64
+		RetryAfter      bool
+		ConnIdleUs      int64
+		DialTimeoutUs   int64
+		MostHeld        int
+	}
+	Classes []struct {
+		Name           string
+		PromiseUs      int64
+		HardLimitUs    int64
+		Effect         string
+		DedupScope     string
+		LateValue      float64
+		RepeatWindowUs int64
+		Worth          float64
+	}
+	Costs      struct{ Connection, CrossZone, Probe, Waste float64 }
+	FamilyInfo struct{ WarmKeys bool }
+	Feedback   struct{ How string }
+	Guarantees struct {
+		AskWithinUs    int64
+		ColdFrom       float64
+		ColdUs         int64
+		DrainGraceUs   int64
+		OverloadFactor float64
+		OverloadForUs  int64
+	}
+	OverShareWorth float64
+	Tenants        []struct {
+		Name          string
+		AllowancePerS float64
+	}
+	RegistryMode string
+	ReplicasOfMe int
+	Zone         string
+}
+
+// Parse reads the settings object.
+func Parse(data []byte) (*Settings, error) {
+	var e env
+	if err := json.Unmarshal(data, &e); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{
+		Config:      config(&e),
+		ConnIdle:    micros(e.Caps.ConnIdleUs),
+		DialTimeout: micros(e.Caps.DialTimeoutUs),
+		DrainGrace:  micros(e.Guarantees.DrainGraceUs),
+		MostHeld:    e.Caps.MostHeld,
+		classes:     make(map[string]int),
+		tenants:     make(map[string]int),
+	}
+	for n, c := range e.Classes {
+		s.classes[c.Name] = n
+		s.Deadlines = append(s.Deadlines, micros(c.HardLimitUs))
+	}
+	for n, t := range e.Tenants {
+		s.tenants[t.Name] = n
+	}
+	return s, nil
+}
+
+// Class is the place of a class, -1 if there is none of that name.
+func (s *Settings) Class(name []byte) int { return index(s.classes, name) }
+
+// Tenant is the place of a tenant, -1 if there is none of that name.
+func (s *Settings) Tenant(name []byte) int { return index(s.tenants, name) }
+
+func index(places map[string]int, name []byte) int {
+	if n, ok := places[string(name)]; ok {
+		return n
+	}
+	return -1
+}
+
+func config(e *env) chalkrack.Config {
+	cfg := chalkrack.Config{
+		Instances:      e.ReplicasOfMe,
+		Zone:           e.Zone,
+		OverShareWorth: e.OverShareWorth,
+		MaxAttempts:    e.Caps.AttemptsCap,
+		MayCancel:      e.Caps.MayCancel,
+		SecondCopies:   e.Caps.SecondCopies,
+		WasteCost:      e.Costs.Waste,
+		Probes:         e.Caps.Probes && e.Feedback.How == "probe",
+		ProbeCost:      e.Costs.Probe,
+		WarmKeys:       e.FamilyInfo.WarmKeys,
+		ConnectionCost: e.Costs.Connection,
+		CrossZoneCost:  e.Costs.CrossZone,
+		ColdFrom:       e.Guarantees.ColdFrom,
+		ColdFor:        micros(e.Guarantees.ColdUs),
+		OverloadFactor: e.Guarantees.OverloadFactor,
+		OverloadFor:    micros(e.Guarantees.OverloadForUs),
+	}
+	if e.RegistryMode == "subscribe" {
+		cfg.AskWithin = micros(e.Guarantees.AskWithinUs)
+	}
+	if e.Caps.RetryAfter {
+		cfg.MaxRetryAfter = micros(e.Caps.MaxRetryAfterUs)
+	}
+	for _, t := range e.Tenants {
+		cfg.Tenants = append(cfg.Tenants, t.AllowancePerS)
+	}
+	for _, c := range e.Classes {
+		class := chalkrack.Class{
+			Aim:       micros(c.PromiseUs),
+			LateWorth: c.LateValue,
+			Worth:     c.Worth,
+			Window:    micros(c.RepeatWindowUs),
+		}
+		switch c.Effect {
+		case "by_key":
+			class.Effect = chalkrack.Keyed
+		case "once":
+			class.Effect = chalkrack.Unsafe
+		}
+		switch c.DedupScope {
+		case "zone":
+			class.Scope = chalkrack.ScopeZone
+		case "cell":
+			class.Scope = chalkrack.ScopeGroup
+		}
+		cfg.Classes = append(cfg.Classes, class)
+	}
+	return cfg
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- /dev/null
+++ b/internal/upstream/attempt.go
@@ -0,0 +1,485 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"chalkrack"
+)
+
+const (
+	// WholeMost is the longest answer that is read whole before it is passed on:
+	// if its server breaks first, another attempt can still be made.
+	WholeMost = 64 << 10
+	headMost  = 64 << 10 // of a server's answer
+	// smallSend is what a connection's empty buffer surely takes at once. More
+	// is written by a goroutine of its own.
+	smallSend = 8 << 10
+)
+
+// Request is a client's request as each of its attempts sends it.
+type Request struct {
+	Method string
+	Head   []byte   // request line and header fields, but for the deadline and the empty line
+	Body   [][]byte // in pieces
+}
+
+// Answer is a server's answer of 200.
+type Answer struct {
+	Header http.Header
+	Body   []byte // whole, or of a long one what has come so far
+	Length int64  // of a long one, -1 if it is not told
+}
+
+// Sink is told how an attempt goes.
+type Sink interface {
+	// Stream says that a long answer has begun, and asks where the rest goes; nil
+	// if nobody wants it.
+	Stream(ans *Answer, rep chalkrack.Report) io.Writer
+	// Done tells the outcome; ans is set for a whole answer. Only the first call counts.
+	Done(o chalkrack.Outcome, ans *Answer, rep chalkrack.Report)
+}
+
+// Attempt is one send of a request to one server.
+type Attempt struct {
+	Request  *Request
+	Server   string
+	Deadline time.Time // when the sidecar stops waiting
+	Sink     Sink
+
+	pool *Pool
+	to   *server
+
+	mu         sync.Mutex
+	conn       *conn
+	ended      bool // abandoned, or its connection is of no more use
+	began      bool // the first byte may have been written
+	wrote      bool
+	readFailed bool // the connection broke before that was known
+
+	sentAt time.Time
+
+	// What the connection had behind it.
+	idle time.Duration
+	uses int
+
+	answering bool // an answer has begun; for the log
+}
+
+// Start makes the attempt. It does not wait for the server.
+func (p *Pool) Start(a *Attempt) {
+	a.pool = p
+	c, addr, ok := p.take(a)
+	switch {
+	case !ok:
+		a.done(chalkrack.ConnectFailed)
+	case c != nil:
+		a.send(c)
+	default:
+		go a.dial(addr)
+	}
+}
+
+// Abandon stops an attempt and says whether it may have begun. Close closes its
+// connection afterwards, which is how a server learns of it.
+func (a *Attempt) Abandon() (began bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	return a.began
+}
+
+// Phase tells for the log how far an attempt came.
+func (a *Attempt) Phase() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	phase := "waiting"
+	switch {
+	case a.conn == nil:
+		return "connecting"
+	case !a.wrote:
+		phase = "writing"
+	case a.answering:
+		phase = "reading"
+	}
+	if a.uses == 0 {
+		return phase + " on a new connection"
+	}
+	return fmt.Sprintf("%s on a connection idle for %v after %d requests", phase, a.idle.Round(time.Millisecond), a.uses)
+}
+
+// Close closes the connection of an abandoned attempt.
+func (a *Attempt) Close() {
+	a.mu.Lock()
+	c := a.conn
+	a.mu.Unlock()
+	if c == nil {
+		return
+	}
+	a.pool.mu.Lock()
+	mine := c.owner == a // else it has gone on to another attempt
+	if mine {
+		a.pool.drop(c)
+	}
+	a.pool.mu.Unlock()
+	if mine {
+		c.Close()
+	}
+}
+
+func (a *Attempt) done(o chalkrack.Outcome) { a.Sink.Done(o, nil, chalkrack.Report{}) }
+
+// guard keeps a panic to the attempt that it came from.
+func (a *Attempt) guard() {
+	if p := recover(); p != nil {
+		slog.Error("panic in an attempt", "panic", p, "stack", string(debug.Stack()))
+		a.done(chalkrack.Reset)
+	}
+}
+
+// dial opens a connection, sends on it and stays as its reader.
+func (a *Attempt) dial(addr string) {
+	c := a.connect(addr)
+	if c == nil {
+		a.done(chalkrack.ConnectFailed)
+		return
+	}
+	go a.sendGuarded(c)
+	c.read(a.pool)
+}
+
+func (a *Attempt) connect(addr string) *conn {
+	d := net.Dialer{Timeout: a.pool.cfg.DialTimeout, KeepAlive: -1}
+	nc, err := d.Dial("tcp", addr)
+	if err != nil {
+		a.pool.unbook()
+		return nil
+	}
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		nc.Close()
+		a.pool.unbook()
+		return nil
+	}
+	c := &conn{Conn: nc, raw: raw, to: a.to, addr: addr, owner: a, in: capped{Conn: nc}}
+	c.br = bufio.NewReaderSize(&c.in, 4<<10)
+	return c
+}
+
+func (a *Attempt) sendGuarded(c *conn) {
+	defer a.guard()
+	a.send(c)
+}
+
+func (a *Attempt) send(c *conn) {
+	late := a.pool.late(a.to) // a slow dial must not carry work past a drain's grace
+	a.mu.Lock()
+	a.conn = c
+	if a.ended || late || a.readFailed {
+		a.ended = true
+		a.mu.Unlock()
+		a.pool.discard(c)
+		a.done(chalkrack.ConnectFailed)
+		return
+	}
+	a.began, a.sentAt = true, time.Now()
+
+	buf := buffers.Get().(*[]byte)
+	head := append((*buf)[:0], a.Request.Head...)
+	head = append(head, "Req-Deadline-Ms: "...)
+	head = strconv.AppendInt(head, max(1, time.Until(a.Deadline).Milliseconds()), 10)
+	head = append(head, "\r\n\r\n"...)
+	size := len(head)
+	for _, piece := range a.Request.Body {
+		size += len(piece)
+	}
+	if size <= smallSend {
+		for _, piece := range a.Request.Body {
+			head = append(head, piece...)
+		}
+		// The lock stays: an answer may come before the write returns.
+		n, err := c.Write(head)
+		failed := a.sent(n == size)
+		a.mu.Unlock()
+		*buf = head
+		buffers.Put(buf)
+		a.afterSend(c, n == size, failed, err)
+		return
+	}
+	a.mu.Unlock()
+	go func() {
+		defer a.guard()
+		pieces := append(net.Buffers{head}, a.Request.Body...)
+		n, err := pieces.WriteTo(c.Conn)
+		a.mu.Lock()
+		failed := a.sent(n == int64(size))
+		a.mu.Unlock()
+		a.afterSend(c, n == int64(size), failed, err)
+	}()
+}
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
+
+func (a *Attempt) sent(whole bool) (readFailed bool) {
+	a.wrote = whole
+	return a.readFailed
+}
+
+func (a *Attempt) afterSend(c *conn, whole, readFailed bool, err error) {
+	switch {
+	case !whole:
+		slog.Debug("request not written", "server", a.Server, "err", err)
+		a.pool.discard(c)
+		a.done(chalkrack.ConnectFailed)
+	case readFailed:
+		a.done(chalkrack.Reset)
+	}
+}
+
+func (c *conn) read(p *Pool) {
+	defer p.discard(c)
+	for {
+		c.in.left = headMost
+		// Nothing is read before it is clear whose it is: an attempt that takes the
+		// connection just now must find there what nobody asked for.
+		err := c.raw.Read(func(fd uintptr) bool { return !silent(fd) })
+		p.mu.Lock()
+		a := c.owner
+		if a == nil { // ended while idle, or something came that nobody asked for
+			p.drop(c)
+		}
+		p.mu.Unlock()
+		if a == nil {
+			return
+		}
+		if err == nil {
+			_, err = c.br.Peek(1)
+		}
+		if err != nil || !a.hasBegun() {
+			a.broken()
+			return
+		}
+		c.in.pausing = p.stall
+		if !a.receive(c) {
+			return
+		}
+		c.in.calm()
+		if !p.release(c) {
+			return
+		}
+	}
+}
+
+func (a *Attempt) hasBegun() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.began
+}
+
+// broken takes a connection's end before any byte of an answer.
+func (a *Attempt) broken() {
+	a.mu.Lock()
+	wrote := a.wrote
+	a.readFailed = true
+	crossed := a.uses > 0 && a.began && !a.ended && time.Since(a.sentAt) < a.pool.early
+	a.mu.Unlock()
+	if crossed {
+		a.pool.crossed(a.idle)
+	}
+	if wrote {
+		a.done(chalkrack.Reset)
+	}
+}
+
+var errLongHead = errors.New("upstream: head of the answer too long")
+
+const stallMost = 400 * time.Millisecond
+
+type capped struct {
+	net.Conn
+	left    int64
+	pausing time.Duration // how long a read may take; 0: any time
+	timed   bool          // the connection has a deadline
+}
+
+func (r *capped) calm() {
+	if r.pausing = 0; r.timed {
+		r.timed = false
+		r.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+func (r *capped) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errLongHead
+	}
+	if r.pausing > 0 {
+		r.timed = true
+		r.Conn.SetReadDeadline(time.Now().Add(r.pausing))
+	}
+	n, err := r.Conn.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
+
+// receive reads one answer and reports it; true if the connection can go on.
+func (a *Attempt) receive(c *conn) (goesOn bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("panic in an answer", "panic", p, "stack", string(debug.Stack()))
+			a.done(chalkrack.Reset)
+			goesOn = false
+		}
+	}()
+	a.mu.Lock()
+	a.answering = true
+	a.mu.Unlock()
+	resp, err := c.readHead(a.Request.Method)
+	if err != nil {
+		slog.Warn("bad answer", "server", a.Server, "err", err)
+		a.done(chalkrack.Reset)
+		return false
+	}
+	rep := ParseLoad(resp.Header.Get("Srv-Load"))
+	ans := &Answer{Header: resp.Header, Length: resp.ContentLength}
+	long := resp.StatusCode == http.StatusOK && ans.Length > WholeMost
+	if !long {
+		if ans.Body, long, err = readMost(resp.Body, ans.Length); err != nil {
+			a.done(chalkrack.Reset)
+			return false
+		}
+	}
+	if long && resp.StatusCode == http.StatusOK {
+		return a.stream(c, resp, ans, rep)
+	}
+	// The next request must find nothing of this answer on the connection.
+	goesOn = !long && !resp.Close && c.br.Buffered() == 0 && a.isWritten()
+	if resp.StatusCode == http.StatusOK {
+		a.Sink.Done(chalkrack.OK, ans, rep)
+		return goesOn
+	}
+	o := chalkrack.ServerError
+	if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) && resp.Header.Get("Srv-Declined") == "1" {
+		o = chalkrack.Full
+	}
+	a.Sink.Done(o, nil, rep)
+	return goesOn
+}
+
+func (a *Attempt) isWritten() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.wrote && !a.ended
+}
+
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.New("upstream: protocol switched")
+		case resp.StatusCode >= 200:
+			c.in.left = math.MaxInt64
+			return resp, nil
+		}
+	}
+}
+
+const trickle = 25 * time.Millisecond
+
+// readMost reads a body that is not known to be long; more says that it goes on.
+// One that has stopped does not: another attempt can still be made for it.
+func readMost(body io.Reader, length int64) (b []byte, more bool, err error) {
+	if length >= 0 && length <= WholeMost {
+		b = make([]byte, length)
+		_, err = io.ReadFull(body, b)
+		return b, false, err
+	}
+	began := time.Now()
+	b = make([]byte, 0, 4<<10)
+	for {
+		if len(b) == cap(b) {
+			b = slices.Grow(b, len(b))
+		}
+		n, err := body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case err == io.EOF:
+			return b, false, nil
+		case err != nil:
+			return nil, false, err
+		case len(b) > WholeMost, n > 0 && time.Since(began) > trickle:
+			return b, true, nil
+		}
+	}
+}
+
+// stream passes a long answer on as it comes.
+func (a *Attempt) stream(c *conn, resp *http.Response, ans *Answer, rep chalkrack.Report) bool {
+	w := a.Sink.Stream(ans, rep)
+	if w == nil { // the request is over: reading the rest on would only cost
+		a.Sink.Done(chalkrack.OK, nil, rep)
+		return false
+	}
+	if _, err := w.Write(ans.Body); err != nil {
+		a.done(chalkrack.Cancelled) // the client has left
+		return false
+	}
+	buf := streamBuffers.Get().(*[]byte)
+	defer streamBuffers.Put(buf)
+	for {
+		n, err := resp.Body.Read(*buf)
+		if n > 0 {
+			if _, werr := w.Write((*buf)[:n]); werr != nil {
+				a.done(chalkrack.Cancelled)
+				return false
+			}
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			goesOn := !resp.Close && c.br.Buffered() == 0 && a.isWritten()
+			a.Sink.Done(chalkrack.OK, nil, rep)
+			return goesOn
+		default:
+			a.done(chalkrack.Reset)
+			return false
+		}
+	}
+}
+
+var streamBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
+
+// ParseLoad reads a load report: name=value, with commas between.
+func ParseLoad(text string) (rep chalkrack.Report) {
+	for text != "" {
+		var field string
+		field, text, _ = strings.Cut(text, ",")
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "inflight", "busy_reqs":
+			rep.InFlight, rep.HasInFlight = v, true
+		case "util", "cpu_share":
+			rep.Util, rep.HasUtil = v, true
+		}
+	}
+	return rep
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,297 @@
+// Package upstream is the sidecar's side towards the servers: the connections
+// it keeps to them and single attempts on these, with their outcomes. It sends
+// nothing twice and chooses no server.
+package upstream
+
+import (
+	"bufio"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Config is what a Pool is told.
+type Config struct {
+	ConnIdle    time.Duration
+	DialTimeout time.Duration
+	DrainGrace  time.Duration
+	MostConns   int // connections at once, those being dialled included
+}
+
+// Pool keeps the connections to all servers.
+type Pool struct {
+	cfg     Config
+	mu      sync.Mutex
+	servers map[string]*server
+	conns   int
+
+	idleMost time.Duration
+	learned  time.Time     // when idleMost last changed
+	early    time.Duration // earlyBreak; tests have more patience, as with stall
+	stall    time.Duration
+}
+
+const (
+	// A used connection that breaks so soon after a request was probably closed
+	// by its server before: the two crossed.
+	earlyBreak = 20 * time.Millisecond
+	// idleLeast is what idleMost never falls below: connections in steady use are kept.
+	idleLeast = 50 * time.Millisecond
+	// After so long without an early break idleMost doubles.
+	idleRelearn = 30 * time.Second
+)
+
+// server is where a server is, and the idle connections to it, oldest first.
+type server struct {
+	name, addr string
+	started    time.Duration
+	left       time.Time
+	idle       []*conn
+}
+
+type conn struct {
+	net.Conn
+	raw   syscall.RawConn
+	in    capped
+	br    *bufio.Reader
+	to    *server
+	addr  string
+	used  time.Time // when it went idle last
+	uses  int
+	owner *Attempt // nil while idle; guarded by the pool's lock
+	dead  bool     // taken out of the pool; guarded by the pool's lock
+}
+
+// New returns an empty Pool.
+func New(cfg Config) *Pool {
+	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost}
+	p.idleMost = p.idleCap()
+	return p
+}
+
+// idleCap is how long a connection is kept idle at most, well under the time after
+// which servers say that they close it.
+func (p *Pool) idleCap() time.Duration { return p.cfg.ConnIdle * 6 / 10 }
+
+func (p *Pool) crossed(idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learned = time.Now()
+	if most := max(idle/2, idleLeast); most < p.idleMost {
+		p.idleMost = most
+		slog.Info("connections break after idling: kept for less", "idle", idle, "kept", most)
+	}
+}
+
+// Serve says where a server is and when it last started. Idle connections to
+// another address or an earlier process are closed: they would end as resets.
+func (p *Pool) Serve(name, addr string, started time.Duration) {
+	p.mu.Lock()
+	s := p.servers[name]
+	if s == nil {
+		s = &server{name: name}
+		p.servers[name] = s
+	}
+	var old []*conn
+	if s.addr != addr || s.started != started {
+		old = p.takeIdle(s)
+	}
+	s.addr, s.started, s.left = addr, started, time.Time{}
+	p.mu.Unlock()
+	closeAll(old)
+}
+
+// Leave says that a server drains or has gone.
+func (p *Pool) Leave(name string, gone bool) {
+	p.mu.Lock()
+	var old []*conn
+	if s := p.servers[name]; s != nil {
+		old = p.takeIdle(s)
+		if s.left.IsZero() {
+			s.left = time.Now()
+		}
+		if gone {
+			delete(p.servers, name)
+		}
+	}
+	p.mu.Unlock()
+	closeAll(old)
+}
+
+// Keep lets go of all servers but those listed.
+func (p *Pool) Keep(listed map[string]bool) {
+	var gone []string
+	p.mu.Lock()
+	for name := range p.servers {
+		if !listed[name] {
+			gone = append(gone, name)
+		}
+	}
+	p.mu.Unlock()
+	for _, name := range gone {
+		p.Leave(name, true)
+	}
+}
+
+// CloseIdle closes the idle connections to a server.
+func (p *Pool) CloseIdle(name string) {
+	p.mu.Lock()
+	var old []*conn
+	if s := p.servers[name]; s != nil {
+		old = p.takeIdle(s)
+	}
+	p.mu.Unlock()
+	closeAll(old)
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	if most := p.idleCap(); p.idleMost < most && now.Sub(p.learned) > idleRelearn {
+		p.idleMost, p.learned = min(2*p.idleMost, most), now
+	}
+	var old []*conn
+	for _, s := range p.servers {
+		for len(s.idle) > 0 && now.Sub(s.idle[0].used) > p.idleMost {
+			old = append(old, s.idle[0])
+			p.drop(s.idle[0])
+		}
+	}
+	p.mu.Unlock()
+	closeAll(old)
+}
+
+// Conns is the number of connections.
+func (p *Pool) Conns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns
+}
+
+func (p *Pool) takeIdle(s *server) []*conn {
+	old := s.idle
+	for _, c := range old {
+		c.dead = true
+	}
+	p.conns -= len(old)
+	s.idle = nil
+	return old
+}
+
+// drop takes an open connection out of the pool. The caller closes it.
+func (p *Pool) drop(c *conn) {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	p.conns--
+	for i, o := range c.to.idle {
+		if o == c {
+			c.to.idle = append(c.to.idle[:i], c.to.idle[i+1:]...)
+			break
+		}
+	}
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+// take gives a the newest idle connection to its server that is still good. With
+// none it books a place for a new one; ok says whether there was one.
+func (p *Pool) take(a *Attempt) (c *conn, addr string, ok bool) {
+	now := time.Now()
+	p.mu.Lock()
+	var old []*conn
+	defer func() {
+		p.mu.Unlock()
+		closeAll(old)
+	}()
+	s := p.servers[a.Server]
+	if s == nil {
+		return nil, "", false // gone between the decision and now
+	}
+	a.to = s
+	for len(s.idle) > 0 {
+		c := s.idle[len(s.idle)-1]
+		if now.Sub(c.used) <= p.idleMost && c.quiet() {
+			s.idle = s.idle[:len(s.idle)-1]
+			c.owner = a
+			a.idle, a.uses = now.Sub(c.used), c.uses
+			return c, "", true
+		}
+		old = append(old, c)
+		p.drop(c)
+	}
+	if p.conns >= p.cfg.MostConns {
+		c := p.longestIdle()
+		if c == nil {
+			slog.Warn("no descriptor left for a connection to a server", "conns", p.conns)
+			return nil, "", false
+		}
+		old = append(old, c)
+		p.drop(c)
+	}
+	p.conns++
+	return nil, s.addr, true
+}
+
+// longestIdle is the connection that has been idle for the longest, nil if none is.
+func (p *Pool) longestIdle() (oldest *conn) {
+	for _, s := range p.servers {
+		if len(s.idle) > 0 && (oldest == nil || s.idle[0].used.Before(oldest.used)) {
+			oldest = s.idle[0]
+		}
+	}
+	return oldest
+}
+
+func (c *conn) quiet() bool {
+	still := false
+	err := c.raw.Control(func(fd uintptr) { still = silent(fd) })
+	return err == nil && still
+}
+
+// silent says that there is nothing to read now.
+func silent(fd uintptr) bool {
+	var one [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN || err == syscall.EINTR
+}
+
+func (p *Pool) release(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.dead || c.addr != c.to.addr || !c.to.left.IsZero() {
+		return false
+	}
+	c.owner, c.used = nil, time.Now()
+	c.uses++
+	c.to.idle = append(c.to.idle, c)
+	return true
+}
+
+func (p *Pool) discard(c *conn) {
+	p.mu.Lock()
+	p.drop(c)
+	p.mu.Unlock()
+	c.Close()
+}
+
+// unbook gives back the place of a connection that never came up.
+func (p *Pool) unbook() {
+	p.mu.Lock()
+	p.conns--
+	p.mu.Unlock()
+}
+
+// late says that the grace of a server that left is over.
+func (p *Pool) late(s *server) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !s.left.IsZero() && time.Since(s.left) > p.cfg.DrainGrace
+}
--- /dev/null
+++ b/pick_test.go
@@ -0,0 +1,258 @@
+package chalkrack
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func fleetOf(n int) []Endpoint {
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{Name: fmt.Sprintf("s%03d", i)})
+	}
+	return list
+}
+
+func TestDefinedAnswersWithoutServers(t *testing.T) {
+	for name, list := range map[string][]Endpoint{
+		"none":         nil,
+		"all draining": {{Name: "a", State: Draining}, {Name: "b", State: Draining}},
+		"all gone":     {{Name: "a", State: Gone}},
+	} {
+		b, r := newTest(t, testConfig(), list...)
+		for class := range 3 {
+			b.Arrive(0, Request{ID: RequestID(class + 1), Class: class, Deadline: 300 * ms})
+		}
+		if len(r.got) != 3 || r.got[0] != "refuse 1" || r.got[1] != "refuse 2" || r.got[2] != "refuse 3" {
+			t.Errorf("%s: %v, want three refusals", name, r.got)
+		}
+	}
+	b, r := newTest(t, testConfig(), fleetOf(2)...)
+	b.Arrive(time.Second, Request{ID: 1, Deadline: time.Second})
+	b.Arrive(time.Second, Request{ID: 2, Class: 9, Deadline: 2 * time.Second})
+	if len(r.got) != 2 || r.got[0] != "refuse 1" || r.got[1] != "refuse 2" {
+		t.Errorf("deadline past, no such class: %v, want two refusals", r.got)
+	}
+}
+
+// All suspect: the capped share keeps some in, and a lone suspect still serves.
+func TestEjectionIsCapped(t *testing.T) {
+	b, _ := newTest(t, testConfig(), fleetOf(10)...)
+	b.fleet.refresh(0)
+	for _, s := range b.fleet.members {
+		for range 3 {
+			b.fleet.failed(s, 0)
+		}
+	}
+	if len(b.fleet.ejected) != 4 {
+		t.Errorf("%d of 10 ejected, want 4", len(b.fleet.ejected))
+	}
+	b.fleet.refresh(time.Minute)
+	if len(b.fleet.ejected) != 0 {
+		t.Errorf("%d still ejected after a minute", len(b.fleet.ejected))
+	}
+}
+
+// A restarted server must get only its cold share: no more than coldPart of
+// what would fell it, judged by what its warm peers get.
+func TestColdPacing(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes = cfg.Classes[2:] // no copies
+	list := fleetOf(4)
+	list[0].Started = 100 * time.Second
+	b, r := newTest(t, cfg, list...)
+	now, cold := 100*time.Second, 0
+	for id := RequestID(1); id <= 400; id++ {
+		now += 5 * ms
+		b.Arrive(now, Request{ID: id, Deadline: now + 300*ms})
+		if r.servers[id-1] == "s000" {
+			cold++
+		}
+		b.Done(now, id, 0, OK, true, Report{})
+	}
+	// 2 s, a quarter of the sends would be 100; it has 0.2 to 0.36 of its capacity.
+	if cold == 0 || cold > 60 {
+		t.Errorf("%d of 400 sends to a server that just started", cold)
+	}
+}
+
+// A cold server outside the working set gets nothing: all balancers could fall
+// back on it together, each with a full share.
+func TestColdGuestGetsNothing(t *testing.T) {
+	list := fleetOf(12)
+	for i := range list {
+		list[i].Started = 100 * time.Second
+	}
+	b, _ := newTest(t, testConfig(), list...)
+	f, now := &b.fleet, 100*time.Second
+	f.refresh(now)
+	if len(f.set) == len(f.members) {
+		t.Fatal("no guests to test with")
+	}
+	for _, s := range f.members {
+		if f.coldRoom(s, now) != s.inSet {
+			t.Errorf("%s: in the set %v, room %v", s.name, s.inSet, !s.inSet)
+		}
+	}
+}
+
+// Where connections have a price, a large tier keeps small working sets.
+func TestWorkingSetByConnectionPrice(t *testing.T) {
+	cfg := testConfig()
+	cfg.Instances, cfg.ConnectionCost = 1200, 0.05
+	b, r := newTest(t, cfg, fleetOf(60)...)
+	b.noCopies()
+	used := map[string]bool{}
+	for id := RequestID(1); id <= 200; id++ {
+		b.Arrive(0, Request{ID: id, Deadline: 300 * ms})
+		b.Done(0, id, 0, OK, true, Report{})
+		used[r.servers[id-1]] = true
+	}
+	if len(used) > 4 {
+		t.Errorf("%d servers used, want a handful", len(used))
+	}
+}
+
+// Two balancers that know the same servers send a key to the same one.
+func TestWarmKeysAgree(t *testing.T) {
+	cfg := testConfig()
+	cfg.WarmKeys = true
+	one, r1 := newTest(t, cfg, fleetOf(setMin)...)
+	r2 := new(recorder)
+	two, err := New(cfg, 99, r2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	two.ServersListed(0, fleetOf(setMin))
+	for id := RequestID(1); id <= 20; id++ {
+		for _, b := range []*Balancer{one, two} {
+			b.noCopies()
+			b.Arrive(0, Request{ID: id, Key: fmt.Sprint(id % 7), Deadline: 300 * ms})
+			b.Done(0, id, 0, OK, true, Report{})
+		}
+		if a, b := r1.servers[id-1], r2.servers[id-1]; a != b {
+			t.Errorf("key %d went to %s and %s", id%7, a, b)
+		}
+	}
+}
+
+// A quiet balancer whose sends mostly come late must shed nearly all: a level that
+// fades between any two outcomes rests far lower.
+func TestShedLevelHoldsBetweenOutcomes(t *testing.T) {
+	cfg := testConfig()
+	a := newAdmitter(&cfg)
+	for i := range 200 { // half are late, twice a second
+		a.outcome(false, i%2 == 0, 2, time.Duration(i)*500*ms)
+	}
+	if a.level < 0.9 {
+		t.Errorf("level %v with half of the answers late", a.level)
+	}
+}
+
+// What is shed brings no answers to lower the level: a quiet balancer takes
+// larger steps, and the level fades by itself, or it outlives its cause.
+func TestShedLevelFallsWhenQuiet(t *testing.T) {
+	a := newAdmitter(&Config{Classes: make([]Class, 1)})
+	a.level = 0.6
+	for range 15 {
+		a.outcome(false, false, 1, 0)
+	}
+	if a.level > 0.05 {
+		t.Errorf("level %v after 15 calm answers of a quiet balancer", a.level)
+	}
+	a.level, a.share[0] = 0.9, 1
+	if before, after := a.odds(0, 0), a.odds(0, 2*shedMemory); before < 0.5 || after > before/4 {
+		t.Errorf("odds went from %v to %v with no outcome for long", before, after)
+	}
+}
+
+// Own in-flight comes before every other sign: a server that holds one of this
+// balancer's requests may be a jam that its old answers do not show yet.
+func TestInFlightComesFirst(t *testing.T) {
+	b, _ := newTest(t, testConfig(), fleetOf(2)...)
+	busy, slow := b.fleet.byName["s000"], b.fleet.byName["s001"]
+	busy.inFlight = 1
+	slow.load, slow.latSum, slow.latN = jammedLoad, 40, 10
+	if b.fleet.cost(busy, 0) <= b.fleet.cost(slow, 0) {
+		t.Error("a server with a request in flight costs less than an idle one")
+	}
+}
+
+// The least worth is shed first, and all of it before the next class.
+func TestShedsLeastWorthFirst(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[2].Worth = 10
+	b, _ := newTest(t, cfg)
+	for range 300 {
+		b.admit.arrived(0, -1, 0)
+		b.admit.arrived(2, -1, 0)
+	}
+	b.admit.level = 0.3
+	if lo, hi := b.admit.odds(0, 0), b.admit.odds(2, 0); lo < 0.4 || hi != 0 {
+		t.Errorf("odds %v for the cheap class and %v for the dear one", lo, hi)
+	}
+	for range 1000 {
+		b.admit.outcome(false, false, 10, 0)
+	}
+	if b.admit.level != 0 {
+		t.Errorf("level %v after calm", b.admit.level)
+	}
+}
+
+// What a tenant asks above its share is shed before what others ask within
+// theirs, whatever the class.
+func TestShedsAboveShareFirst(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tenants, cfg.OverShareWorth = []float64{9, 9}, 0.1
+	cfg.Classes[2].Worth = 5
+	a := newAdmitter(&cfg)
+	within, above := 0, 0
+	for i := range 200 { // 20 dear requests a second of the first tenant, whose share here is 3
+		now := time.Duration(i) * 50 * ms
+		if a.arrived(2, 0, now) == 2 {
+			within++
+		} else {
+			above++
+		}
+	}
+	if within < 38 || within > 45 {
+		t.Errorf("%d of 200 within the share, want 3 a second and what was saved up", within)
+	}
+	a.level, a.at = 0.5, 10*time.Second
+	modest := a.arrived(0, 1, 10*time.Second)
+	if lo, hi := a.odds(5, a.at), a.odds(modest, a.at); modest != 0 || lo < 0.4 || hi != 0 {
+		t.Errorf("odds %v above the share, %v within it", lo, hi)
+	}
+}
+
+// Sorting a large fleet anew for each of many small changes cost a quiet balancer
+// more than its requests did: members stay sorted as changes come.
+func TestMembersStaySorted(t *testing.T) {
+	b, _ := newTest(t, testConfig(), fleetOf(20)...)
+	f, rng := &b.fleet, rand.New(rand.NewPCG(7, 7))
+	for step := range 500 {
+		list := fleetOf(30)
+		e := list[rng.IntN(len(list))]
+		e.State = State(rng.IntN(3))
+		b.ServersChanged(0, []Endpoint{e})
+		if step%50 == 49 {
+			b.ServersListed(0, list[rng.IntN(10):])
+		}
+		serving := 0
+		for _, s := range f.byName {
+			if s.serving {
+				serving++
+			}
+		}
+		if serving != len(f.members) {
+			t.Fatalf("step %d: %d members, %d servers serve", step, len(f.members), serving)
+		}
+		for i, s := range f.members {
+			if !s.serving || f.byName[s.name] != s || i > 0 && f.members[i-1].priority > s.priority {
+				t.Fatalf("step %d: member %d is out of place", step, i)
+			}
+		}
+	}
+}
