Book each send: in flight, rate, cold share

Checked: nothing raised server.inFlight, though every outcome lowers it, so the two choices drew to the servers used most; fleet.sent and sentAt were only read (working set stuck at setMin, shed steps at gainMax); cold.tokens were never spent, so a cold server had no limit. Ruled out: the outcomes' side (Done lowers once per attempt), the weights and the ejections.

--- a/balancer.go
+++ b/balancer.go
@@ -413,6 +413,7 @@
 	}
 	q.attempts = append(q.attempts, attempt{to: s, sent: now, isCopy: isCopy, held: held})
 	q.out++
+	b.fleet.book(s, now)
 	b.host.Send(q.ID, s.name, q.Deadline-now)
 	return true
 }
--- a/pick.go
+++ b/pick.go
@@ -362,6 +362,16 @@
 	return s.cold.tokens >= 1
 }
 
+// book counts a send to s. Guards against deciding blind: the two choices, the
+// working set, the shed level's steps and a cold server's share all stand on it.
+func (f *fleet) book(s *server, now time.Duration) {
+	s.inFlight++
+	f.sent, f.sentAt = f.sent*fade(now-f.sentAt, rateMemory)+1, now
+	if now < s.warmAt {
+		s.cold.tokens--
+	}
+}
+
 func (f *fleet) rate(now time.Duration) float64 {
 	return f.sent * fade(now-f.sentAt, rateMemory) / rateMemory.Seconds()
 }
--- a/pick_test.go
+++ b/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -168,6 +169,51 @@
 	}
 }
 
+// Each send is booked: on its server until its outcome, in the rate of sends, and
+// against the share of a server that is cold.
+func TestSendsAreBooked(t *testing.T) {
+	list := fleetOf(1)
+	list[0].Started = 100 * time.Second
+	b, _ := newTest(t, testConfig(), list...)
+	b.noCopies()
+	s, now := b.fleet.byName["s000"], 100*time.Second
+	for id := RequestID(1); id <= 3; id++ {
+		s.cold = bucket{2, now}
+		b.Arrive(now, Request{ID: id, Tenant: -1, Deadline: now + time.Second})
+		if s.inFlight != int(id) || s.cold.tokens >= 2 {
+			t.Errorf("send %d: %d in flight, %v of 2 tokens left", id, s.inFlight, s.cold.tokens)
+		}
+	}
+	if got, want := b.fleet.rate(now), 3/rateMemory.Seconds(); math.Abs(got-want) > 1e-9 {
+		t.Errorf("rate %v after three sends, want %v", got, want)
+	}
+	if got := b.fleet.rate(now + 20*rateMemory); got > 1e-6 {
+		t.Errorf("rate %v long after", got)
+	}
+	for id := RequestID(1); id <= 3; id++ {
+		b.Done(now, id, 0, OK, true, Report{})
+	}
+	if s.inFlight != 0 {
+		t.Errorf("%d in flight after all outcomes", s.inFlight)
+	}
+}
+
+// Two choices by requests in flight: with nothing answered, the load spreads.
+func TestTwoChoicesSpread(t *testing.T) {
+	b, r := newTest(t, testConfig(), fleetOf(setMin)...)
+	b.noCopies()
+	counts := make(map[string]int)
+	for id := RequestID(1); id <= 100; id++ {
+		b.Arrive(0, Request{ID: id, Tenant: -1, Deadline: time.Second})
+		counts[r.servers[id-1]]++
+	}
+	for name, n := range counts {
+		if n < 20 || n > 30 {
+			t.Errorf("%s holds %d of 100 requests, want about a quarter", name, n)
+		}
+	}
+}
+
 // Own in-flight comes before every other sign: a server that holds one of this
 // balancer's requests may be a jam that its old answers do not show yet.
 func TestInFlightComesFirst(t *testing.T) {
