Empty the cold bucket of a server that restarts

Checked: only servers new to the list began with one token; while warm the bucket is not refilled, so its first refill spans all the warm time. At fault: pick.go update, which resets faults and speed at a restart but not the bucket.

--- a/pick.go
+++ b/pick.go
@@ -122,7 +122,8 @@
 	if e.Started > s.started {
 		// A restarted process has none of its old faults and none of its speed.
 		s.failures, s.ejections, s.ejectedUntil = 0, 0, 0
-		s.latSum, s.latN, s.learned = 0, 0, 1
+		// What its bucket saved up while it was warm would come as one burst.
+		s.latSum, s.latN, s.learned, s.cold = 0, 0, 1, bucket{1, now}
 	}
 	s.started, s.warmAt = e.Started, 0
 	if e.Started > 0 {
--- a/pick_test.go
+++ b/pick_test.go
@@ -79,6 +79,24 @@
 	}
 }
 
+// A server that restarts, cold once more, has nothing saved up from when it was warm.
+func TestRestartSavesNothingUp(t *testing.T) {
+	list := fleetOf(setMin)
+	b, _ := newTest(t, testConfig(), list...)
+	now := 100 * time.Second
+	b.fleet.sent, b.fleet.sentAt = 400, now
+	b.fleet.refresh(now)
+	list[0].Started = now
+	b.ServersChanged(now, list[:1])
+	s, room := b.fleet.byName["s000"], 0
+	for ; b.fleet.coldRoom(s, now) && room < 100; room++ {
+		b.fleet.book(s, now)
+	}
+	if room != 1 {
+		t.Errorf("room for %d sends at the moment of a restart, want 1", room)
+	}
+}
+
 // A cold server outside the working set gets nothing: all balancers could fall
 // back on it together, each with a full share.
 func TestColdGuestGetsNothing(t *testing.T) {
