Wind the timer anew for an alarm due earlier

Seen: with one request held until 19 s, the next one's deadline of 150 ms is kept only at the aim of the first, 10 s later; copies and aims wait as well. Checked: the heap orders alarms rightly and ring takes all that are due; the deadline handed over and the margin are right. At fault: sidecar.go wind, which set the timer only when none was wound.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -454,11 +454,13 @@
 
 func (h *Host) after(a alarm) { heap.Push(&h.alarms, a) }
 
+// wind sets the one timer for the first alarm. Guards against an alarm that is set
+// later and due earlier than the one wound: it would ring only with that one.
 func (h *Host) wind() {
 	if len(h.alarms) == 0 {
 		return
 	}
-	if at := h.alarms[0].at; h.alarmAt == 0 {
+	if at := h.alarms[0].at; h.alarmAt == 0 || at < h.alarmAt {
 		h.alarmAt = at
 		h.alarm.Reset(max(at-h.now(), tick))
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -231,6 +231,19 @@
 	}
 }
 
+// A deadline that is set while the timer is wound for a later one is kept.
+func TestShorterDeadlineAfterLonger(t *testing.T) {
+	h, _, addr := start(t, testSettings(), newServer(t, always("")))
+	long := send(t, addr, "u", "Req-Deadline-Ms: 19000\r\n", "")
+	defer long.Close()
+	settle(t, "not held", func() bool { return h.Held() == 1 })
+	began := time.Now()
+	status, _ := ask(t, addr, "u", "Req-Deadline-Ms: 150\r\n", "")
+	if took := time.Since(began); status != 502 || took > 5*time.Second {
+		t.Errorf("answered %d after %v", status, took)
+	}
+}
+
 // A server that has gone gets nothing more, and one that comes is used.
 func TestListChanges(t *testing.T) {
 	s, next := newServer(t, always(ok("old"))), newServer(t, always(ok("new")))
