Forget client connections when they close

Checked: evict takes out what it closes; serve's other ends all pass through close; ruled out the budget of bodies and MostConns itself. At fault: front.go close, which left the connection in conns.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -275,9 +275,12 @@
 	return true
 }
 
+// close ends a connection for good. Guards against counting those that are gone:
+// after as many clients as there is room for, all others would be turned away.
 func (c *conn) close() {
 	c.srv.mu.Lock()
 	c.shut = true
+	delete(c.srv.conns, c)
 	c.srv.mu.Unlock()
 	c.nc.Close()
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -293,6 +293,24 @@
 	}
 }
 
+// A connection that its client or the server has closed is counted no more: after
+// many short ones there is room for the next.
+func TestClosedConnsAreForgotten(t *testing.T) {
+	s, _, dial := start(t, Config{MostConns: 3}, echo)
+	for n := range 10 {
+		c := dial()
+		fields := ids
+		if n%2 == 0 {
+			fields += field("Connection", "close")
+		}
+		if status, _, _ := c.say(request("GET /a", fields)).hear(); status != 200 {
+			t.Fatalf("connection %d: answered %d", n, status)
+		}
+		c.Close()
+		settle(t, "closed and still counted", func() bool { return s.Conns() == 0 })
+	}
+}
+
 // A panic while handling a request fails that one only.
 func TestPanic(t *testing.T) {
 	_, _, dial := start(t, Config{}, func(x *Exchange) {
