Count an answered client connection as idle again

Seen: tally's log line says 'in a body' for connections that were answered; a drain waits out its whole time, and where all places are taken nobody gives way. Checked: next raises busy for each request; nothing lowered it. Ruled out evict and Drain, which pass over busy connections rightly. At fault: exchange.go end. It also forgot that a connection had been shut.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -165,6 +165,8 @@
 	return s.draining
 }
 
+// end frees the connection of an answered request. Guards against one that counts
+// as busy for ever: it could be neither evicted nor closed at a drain.
 func (x *Exchange) end(ok bool) {
 	c := x.conn
 	if !ok {
@@ -173,7 +175,8 @@
 	s := c.srv
 	s.mu.Lock()
 	keep := ok && x.keep
-	c.x, c.shut, c.since = nil, !keep, time.Now()
+	c.x, c.busy, c.since = nil, false, time.Now()
+	c.shut = c.shut || !keep
 	s.mu.Unlock()
 	if !keep {
 		c.nc.Close()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -311,6 +311,31 @@
 	}
 }
 
+// An answered connection is idle: it gives way to a new one where all places are
+// taken, and a drain closes it.
+func TestAnsweredConnsAreIdle(t *testing.T) {
+	s, _, dial := start(t, Config{MostConns: 2}, echo)
+	ask := func(c *client) {
+		t.Helper()
+		if status, _, _ := c.say(request("GET /a", ids)).hear(); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+		settle(t, "busy after its answer", func() bool { return s.Busy() == 0 })
+	}
+	first, second, third := dial(), dial(), dial
+	ask(first)
+	ask(second)
+	ask(third())
+	if !first.closed() {
+		t.Error("the oldest idle connection was kept")
+	}
+	ask(second)
+	s.Drain()
+	if !second.closed() {
+		t.Error("an idle connection outlives a drain")
+	}
+}
+
 // A panic while handling a request fails that one only.
 func TestPanic(t *testing.T) {
 	_, _, dial := start(t, Config{}, func(x *Exchange) {
