--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -293,6 +293,49 @@
 	}
 }
 
+// A connection that its client or the server has closed is counted no more: after
+// many short ones there is room for the next.
+func TestClosedConnsAreForgotten(t *testing.T) {
+	s, _, dial := start(t, Config{MostConns: 3}, echo)
+	for n := range 10 {
+		c := dial()
+		fields := ids
+		if n%2 == 0 {
+			fields += field("Connection", "close")
+		}
+		if status, _, _ := c.say(request("GET /a", fields)).hear(); status != 200 {
+			t.Fatalf("connection %d: answered %d", n, status)
+		}
+		c.Close()
+		settle(t, "closed and still counted", func() bool { return s.Conns() == 0 })
+	}
+}
+
+// An answered connection is idle: it gives way to a new one where all places are
+// taken, and a drain closes it.
+func TestAnsweredConnsAreIdle(t *testing.T) {
+	s, _, dial := start(t, Config{MostConns: 2}, echo)
+	ask := func(c *client) {
+		t.Helper()
+		if status, _, _ := c.say(request("GET /a", ids)).hear(); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+		settle(t, "busy after its answer", func() bool { return s.Busy() == 0 })
+	}
+	first, second, third := dial(), dial(), dial
+	ask(first)
+	ask(second)
+	ask(third())
+	if !first.closed() {
+		t.Error("the oldest idle connection was kept")
+	}
+	ask(second)
+	s.Drain()
+	if !second.closed() {
+		t.Error("an idle connection outlives a drain")
+	}
+}
+
 // A panic while handling a request fails that one only.
 func TestPanic(t *testing.T) {
 	_, _, dial := start(t, Config{}, func(x *Exchange) {
