Bound the time of a whole request, and of a connection without one

Ruled out the head, which had one deadline, though it counted from the first byte and not from connecting. At fault: front.go next and fill.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,12 +18,14 @@
 )
 
 const (
-	headMost     = 64 << 10
-	bodyMost     = 32 << 20
-	headWait     = 2500 * time.Millisecond
+	headMost = 64 << 10
+	bodyMost = 32 << 20
+	// A request must be whole so long after its first byte, the first one of a
+	// connection so long after the connection came up; one with a long body later.
+	wholeWait    = 2500 * time.Millisecond
+	longWait     = 5500 * time.Millisecond
+	longBody     = 64 << 10
 	headPatience = time.Second
-	// How long a piece of a body may take: honest clients send 64 kB a second.
-	pieceWait = 4 * time.Second
 	// A client that takes nothing of its answer for so long has hung.
 	writeMost = 10 * time.Second
 	// How long a refused connection is read off, so that its client sees why.
@@ -71,6 +73,7 @@
 	shut   bool // closed by the sidecar
 	fresh  bool
 	since  time.Time
+	began  time.Time // what wholeWait counts from; the goroutine's own
 	served sync.Cond // x became nil
 	x      *Exchange // the request that waits for its answer
 }
@@ -251,9 +254,19 @@
 	}
 }
 
+// next waits for a request to begin. Guards against clients that connect and say
+// nothing: each would hold a descriptor for as long as it likes.
 func (c *conn) next() bool {
 	c.in.left = headMost
+	first := c.began.IsZero()
+	if first {
+		c.began = time.Now()
+		c.nc.SetReadDeadline(c.began.Add(wholeWait))
+	}
 	_, err := c.br.Peek(1)
+	if !first {
+		c.began = time.Now()
+	}
 	s := c.srv
 	s.mu.Lock()
 	if err != nil && c.x != nil {
@@ -286,7 +299,7 @@
 }
 
 func (c *conn) read(crowded bool) (*Exchange, int) {
-	c.nc.SetReadDeadline(time.Now().Add(headWait))
+	c.nc.SetReadDeadline(c.began.Add(wholeWait))
 	r, err := http.ReadRequest(c.br)
 	c.srv.mu.Lock()
 	c.head = false
@@ -340,7 +353,8 @@
 const limitRetry = 200 * time.Millisecond
 
 // readBody reads a request's body under the byte budget. Past it the rest is
-// read off and thrown away, and kept is -1.
+// read off and thrown away, and kept is -1. The time that is left to it is that of
+// the whole request: a client that sends a byte now and then gets no more.
 func (c *conn) readBody(r *http.Request) (body [][]byte, kept int64, status int) {
 	if r.Body == http.NoBody {
 		return nil, 0, 0
@@ -367,7 +381,10 @@
 			kept += size
 			piece = make([]byte, size)
 		}
-		n, err := c.fill(r.Body, piece)
+		if total >= longBody {
+			c.nc.SetReadDeadline(c.began.Add(longWait))
+		}
+		n, err := fill(r.Body, piece)
 		total += int64(n)
 		if !over && n > 0 {
 			body = append(body, piece[:n])
@@ -394,8 +411,7 @@
 }
 
 // fill fills p; io.EOF says that the body ended before.
-func (c *conn) fill(body io.Reader, p []byte) (n int, err error) {
-	c.nc.SetReadDeadline(time.Now().Add(pieceWait))
+func fill(body io.Reader, p []byte) (n int, err error) {
 	for n < len(p) && err == nil {
 		var k int
 		k, err = body.Read(p[n:])
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -229,6 +229,65 @@
 	}
 }
 
+// What is no whole request in time is closed, with or without an answer: nothing at
+// all, half a head, half a body, and one that goes on late or byte by byte. Nobody
+// else is disturbed meanwhile.
+func TestTooSlow(t *testing.T) {
+	long := request("POST /a", ids+field("Content-Length", "200000"))
+	for name, c := range map[string]struct{ text, late, drip string }{
+		"says nothing":            {"", "", ""},
+		"half a head":             {"GET /a HTTP/1.1\r\nHos", "", ""},
+		"drips a head":            {"GET /a HTTP/1.1\r\nHost: ", "", "h"},
+		"half a body":             {long + "hi", "", ""},
+		"goes on late":            {long, strings.Repeat("x", longBody-1), ""},
+		"drips a body":            {long, "", "x"},
+		"drips a chunk":           {request("POST /a", ids+field("Transfer-Encoding", "chunked")) + "ffff\r\n", strings.Repeat("x", firstPiece), "x"},
+		"huge, but no more of it": {request("POST /a", ids+field("Content-Length", fmt.Sprint(bodyMost))) + "hi", "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, _, dial := start(t, Config{}, echo)
+			cl, other := dial().say(c.text), dial()
+			began := time.Now()
+			go func() {
+				time.Sleep(wholeWait * 4 / 5)
+				for text := c.late; ; text = c.drip {
+					if _, err := io.WriteString(cl.Conn, text); err != nil {
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+			if status, _, _ := other.say(request("GET /a", ids)).hear(); status != 200 {
+				t.Errorf("another client was answered %d", status)
+			}
+			if status, _, _ := cl.hear(); status >= 100 && status < 400 {
+				t.Errorf("answered %d", status)
+			}
+			if !cl.closed() {
+				t.Error("not closed")
+			}
+			if took := time.Since(began); took > 2*wholeWait {
+				t.Errorf("closed after %v", took)
+			}
+			other.Close()
+			settle(t, "still counted", func() bool { return s.Conns() == 0 })
+		})
+	}
+}
+
+// A connection that has had an answer may be silent for longer.
+func TestIdleIsKept(t *testing.T) {
+	_, _, dial := start(t, Config{}, echo)
+	c := dial()
+	for range 2 {
+		if status, _, _ := c.say(request("GET /a", ids)).hear(); status != 200 {
+			t.Errorf("answered %d", status)
+		}
+		time.Sleep(wholeWait + wholeWait/4)
+	}
+}
+
 // Two requests at once are answered in turn.
 func TestPipelined(t *testing.T) {
 	_, _, dial := start(t, Config{}, func(x *Exchange) {
