Turn away a request whose body has two lengths

Checked: on loopback Content-Length beside Transfer-Encoding is answered 200 and what stands behind the empty chunk goes on as a request of its own: net/http drops the length; with HTTP/1.0 it drops the encoding. Ruled out what the sidecar writes to servers, which always has one length. At fault: front.go read took the parsed head as the whole truth.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -122,6 +122,13 @@
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
 
+// giveBack returns a buffer to its pool, unless it has grown too large to keep.
+func giveBack(buf *[]byte) {
+	if cap(*buf) <= 80<<10 {
+		buffers.Put(buf)
+	}
+}
+
 // answer writes a whole answer, in one write, and readies the connection for the
 // next request.
 func (x *Exchange) answer(status int, field string, h http.Header, body []byte) {
@@ -136,10 +143,8 @@
 		defer c.nc.SetWriteDeadline(time.Time{})
 	}
 	_, err := c.nc.Write(b)
-	if cap(b) <= 80<<10 {
-		*buf = b
-		buffers.Put(buf)
-	}
+	*buf = b
+	giveBack(buf)
 	x.end(err == nil)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -83,6 +84,7 @@
 type capped struct {
 	net.Conn
 	left int64
+	head *[]byte // what is read is written down here too, if set
 }
 
 var errLongHead = errors.New("front: head too long")
@@ -93,6 +95,9 @@
 	}
 	n, err := r.Conn.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	if r.head != nil {
+		*r.head = append(*r.head, p[:n]...)
+	}
 	return n, err
 }
 
@@ -300,7 +305,7 @@
 
 func (c *conn) read(crowded bool) (*Exchange, int) {
 	c.nc.SetReadDeadline(c.began.Add(wholeWait))
-	r, err := http.ReadRequest(c.br)
+	r, err := c.readHead()
 	c.srv.mu.Lock()
 	c.head = false
 	c.srv.mu.Unlock()
@@ -349,6 +354,46 @@
 	return x, 0
 }
 
+var errTwoLengths = errors.New("front: body of two lengths")
+
+// readHead reads a request's head. Guards against a request that hides another in
+// its body: the parser drops a Content-Length beside a Transfer-Encoding, and a
+// Transfer-Encoding of HTTP/1.0, without a word, so the head is looked at as it came.
+func (c *conn) readHead() (*http.Request, error) {
+	buf := buffers.Get().(*[]byte)
+	defer giveBack(buf)
+	come, _ := c.br.Peek(c.br.Buffered())
+	*buf = append((*buf)[:0], come...)
+	c.in.head = buf
+	r, err := http.ReadRequest(c.br)
+	c.in.head = nil
+	if err != nil {
+		return nil, err
+	}
+	length, encoding := framing(*buf)
+	if encoding && (length || !r.ProtoAtLeast(1, 1)) {
+		return nil, errTwoLengths
+	}
+	return r, nil
+}
+
+// framing says which of the fields that tell a body's end a head has.
+func framing(head []byte) (length, encoding bool) {
+	for line := range bytes.Lines(head) {
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(bytes.TrimSpace(line)) == 0:
+			return length, encoding
+		case !ok:
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			length = true
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			encoding = true
+		}
+	}
+	return length, encoding
+}
+
 // limitRetry is when a client refused at a limit may come back.
 const limitRetry = 200 * time.Millisecond
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -126,6 +126,9 @@
 	}
 }
 
+// hidden is a body that ends at once in chunks, and has a request behind that.
+var hidden = "0\r\n\r\n" + request("GET /a", ids)
+
 func TestRequests(t *testing.T) {
 	for _, c := range []struct {
 		name, text string
@@ -147,6 +150,9 @@
 		{"no HTTP", "hello there\r\n\r\n", 400, "", true},
 		{"bad length", request("POST /a", ids+field("Content-Length", "x")), 400, "", true},
 		{"bad chunk", request("POST /a", ids+field("Transfer-Encoding", "chunked")) + "zz\r\n", 400, "", true},
+		{"a length beside an encoding", request("POST /a", ids+field("Content-Length", "5")+field("Transfer-Encoding", "chunked")) + hidden, 400, "", true},
+		{"an encoding beside a length", request("POST /a", ids+field("transfer-encoding", "chunked")+field("content-length", "5")) + hidden, 400, "", true},
+		{"an encoding of the old version", "POST /a HTTP/1.0\r\nConnection: keep-alive\r\n" + ids + "Transfer-Encoding: chunked\r\n\r\n" + hidden, 400, "", true},
 		{"head too long", "GET /a HTTP/1.1\r\nX: " + strings.Repeat("x", headMost), 431, "", true},
 		{"body too long", request("POST /a", ids+field("Content-Length", fmt.Sprint(bodyMost+1))), 413, "", true},
 	} {
@@ -288,6 +294,31 @@
 	}
 }
 
+// The two lengths of a body are seen also where the head comes in pieces, and behind
+// another request; names of these fields in a value are none.
+func TestTwoLengths(t *testing.T) {
+	_, _, dial := start(t, Config{}, echo)
+	bad := request("POST /a", ids+field("Content-Length", "5")+field("Transfer-Encoding", "chunked")) + hidden
+	c := dial()
+	for n := range bad {
+		if _, err := io.WriteString(c.Conn, bad[n:n+1]); err != nil {
+			break // answered and closed
+		}
+	}
+	if status, _, _ := c.hear(); status != 400 {
+		t.Errorf("in pieces: answered %d", status)
+	}
+	c = dial().say(request("POST /a", ids+field("X", "Transfer-Encoding: chunked")+field("Content-Length", "2")) + "hi" + bad)
+	for _, want := range []int{200, 400} {
+		if status, _, _ := c.hear(); status != want {
+			t.Errorf("behind another: answered %d, want %d", status, want)
+		}
+	}
+	if !c.closed() {
+		t.Error("not closed")
+	}
+}
+
 // Two requests at once are answered in turn.
 func TestPipelined(t *testing.T) {
 	_, _, dial := start(t, Config{}, func(x *Exchange) {
