Turn away a request whose id is open already

Checked: on loopback the second one went on to a server like any other, to be taken there for a repeat of the first. At fault: nothing knew which ids are open. A request with two ids is turned away as well: each side could take another one for the real one.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -24,6 +24,7 @@
 	State    any // the handler's
 
 	conn     *conn
+	id       string
 	body     [][]byte
 	reserved int64
 	keep     bool // the connection may go on
@@ -45,9 +46,11 @@
 			return http.StatusNotFound
 		}
 	}
-	if r.Header.Get("Req-Id") == "" {
+	id := r.Header.Values("Req-Id")
+	if len(id) != 1 || id[0] == "" {
 		return http.StatusBadRequest
 	}
+	x.id = id[0]
 	if d := r.Header.Get("Req-Deadline-Ms"); d != "" {
 		ms, err := strconv.ParseInt(d, 10, 32)
 		if err != nil || ms < 0 {
@@ -180,6 +183,9 @@
 	s := c.srv
 	s.mu.Lock()
 	keep := ok && x.keep
+	if c.x != nil {
+		delete(s.open, c.x.id)
+	}
 	c.x, c.busy, c.since = nil, false, time.Now()
 	c.shut = c.shut || !keep
 	s.mu.Unlock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,7 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	open     map[string]struct{} // ids of the requests that wait for their answer
 	draining bool
 }
 
@@ -103,7 +104,7 @@
 
 // New returns a Server that hands requests to h.
 func New(cfg Config, h Handler) *Server {
-	return &Server{cfg: cfg, handler: h, budget: budget{left: cfg.MostBody}, conns: make(map[*conn]struct{})}
+	return &Server{cfg: cfg, handler: h, budget: budget{left: cfg.MostBody}, conns: make(map[*conn]struct{}), open: make(map[string]struct{})}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -251,14 +252,32 @@
 			return
 		case x == nil:
 		default:
-			c.srv.mu.Lock()
-			c.x = x
-			c.srv.mu.Unlock()
+			if !c.open(x) {
+				slog.Warn("request turned away: its id is taken", "class", x.Class)
+				x.answer(http.StatusConflict, "", nil, nil)
+				x.Release()
+				continue
+			}
 			c.srv.handler.Arrive(x)
 		}
 	}
 }
 
+// open makes x the request that waits for its answer, unless its id is open already.
+// Guards against a client that sends another's id: servers would take the one for a
+// repeat of the other.
+func (c *conn) open(x *Exchange) bool {
+	s := c.srv
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, taken := s.open[x.id]; taken {
+		return false
+	}
+	s.open[x.id] = struct{}{}
+	c.x = x
+	return true
+}
+
 // next waits for a request to begin. Guards against clients that connect and say
 // nothing: each would hold a descriptor for as long as it likes.
 func (c *conn) next() bool {
@@ -298,6 +317,9 @@
 func (c *conn) close() {
 	c.srv.mu.Lock()
 	c.shut = true
+	if c.x != nil {
+		delete(c.srv.open, c.x.id)
+	}
 	delete(c.srv.conns, c)
 	c.srv.mu.Unlock()
 	c.nc.Close()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -319,6 +319,37 @@
 	}
 }
 
+// The id of a request that waits for its answer is its own: another with it is
+// turned away and the first is not disturbed. Once that is over, or its client has
+// left, the id is free.
+func TestOpenID(t *testing.T) {
+	got := make(chan *Exchange, 10)
+	s, f, dial := start(t, Config{}, func(x *Exchange) { got <- x })
+	first := dial().say(request("GET /a", ids))
+	x := <-got
+	second := dial()
+	if status, _, _ := second.say(request("GET /a", ids)).hear(); status != 409 {
+		t.Errorf("an id that is open: answered %d", status)
+	}
+	answerWhole(x, "hi")
+	if status, body, _ := first.hear(); status != 200 || body != "hi" {
+		t.Errorf("the first was answered %d %q", status, body)
+	}
+	second.say(request("GET /a", ids))
+	<-got
+	second.Close()
+	<-f.gone
+	settle(t, "still counted", func() bool { return s.Conns() == 1 })
+	first.say(request("GET /a", ids))
+	answerWhole(<-got, "again")
+	if status, body, _ := first.hear(); status != 200 || body != "again" {
+		t.Errorf("then answered %d %q", status, body)
+	}
+	if status, _, _ := first.say(request("GET /a", ids+field("Req-Id", "2"))).hear(); status != 400 {
+		t.Errorf("two ids: answered %d", status)
+	}
+}
+
 // Two requests at once are answered in turn.
 func TestPipelined(t *testing.T) {
 	_, _, dial := start(t, Config{}, func(x *Exchange) {
