Turn away a class that does not exist or differs from the path's

Seen: by reading; a request with a Req-Kind of its own was never checked. At fault: exchange.go parse looked the class up only where Req-Kind was missing.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -39,12 +39,14 @@
 // parse takes r over; it returns the status to answer at once, 0 for none.
 func (x *Exchange) parse(r *http.Request, h Handler) (status int) {
 	x.http10 = !r.ProtoAtLeast(1, 1)
-	x.Class = r.Header.Get("Req-Kind")
-	if x.Class == "" {
-		x.Class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		if !h.Known(x.Class) {
-			return http.StatusNotFound
-		}
+	// The class tells what may be repeated, and servers go by the path: guards
+	// against one that does not exist and two that differ.
+	x.Class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if !h.Known(x.Class) {
+		return http.StatusNotFound
+	}
+	if kind := r.Header.Values("Req-Kind"); len(kind) > 1 || len(kind) == 1 && kind[0] != x.Class {
+		return http.StatusBadRequest
 	}
 	id := r.Header.Values("Req-Id")
 	if len(id) != 1 || id[0] == "" {
