Read the configuration again on SIGHUP

Checked: no handler for SIGHUP anywhere; the environment hides the file's discovery; a watch that is sent elsewhere would ask for changes after the old one's version, and its backoff could eat up the 4 s. At fault: cmd/fawnrock had no reload at all. The watcher can move now; only discovery is taken while running, other changes are logged.

--- a/balancer.go
+++ b/balancer.go
@@ -95,7 +95,8 @@
 	OverloadFor    time.Duration // when sent for this long
 }
 
-func (c *Config) validate() error {
+// Validate says what of c can't be used, by the name of its field.
+func (c *Config) Validate() error {
 	var err error
 	need := func(ok bool, field, want string) {
 		if !ok && err == nil {
@@ -224,7 +225,7 @@
 
 // New returns a Balancer for cfg that draws its random numbers from seed.
 func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
-	if err := cfg.validate(); err != nil {
+	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{
--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -20,7 +20,8 @@
 	memoryMB, sockets int
 	known             *discovery.List // nil: none
 	settings          *settings.Settings
-	asks              bool // discovery must be asked
+	asks              bool   // discovery must be asked
+	fixed             []byte // what holds from start to end: limits and settings, as read
 }
 
 const (
@@ -28,6 +29,17 @@
 	socketsLeast = 32
 )
 
+// fileFirst hides the address of discovery in the environment, which is that of the
+// start: at a reload the file has the newer one.
+func fileFirst(getenv func(string) string) func(string) string {
+	return func(name string) string {
+		if name == "BALANCER_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	}
+}
+
 // load reads the configuration from the environment and the file it names.
 // Errors name the field.
 func load(getenv func(string) string) (*config, error) {
@@ -103,6 +115,10 @@
 	case s.DrainGrace < 0:
 		return nil, errors.New("config: settings.guarantees.drainGraceUs must be 0 or more")
 	}
+	if err := s.Config.Validate(); err != nil {
+		return nil, fmt.Errorf("config: settings: %w", err)
+	}
 	c.asks = s.Config.AskWithin > 0
+	c.fixed = fmt.Appendf(nil, "%+v %s", raw.Limits, raw.Settings)
 	return c, nil
 }
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"log/slog"
 	"math"
@@ -40,9 +41,11 @@
 	slog.SetDefault(limitlog.New(os.Stderr, slog.LevelInfo))
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // from the first: unhandled, it would end the process
 	c, err := load(os.Getenv)
 	if err == nil {
-		err = run(c, term)
+		err = run(c, term, hup)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fawnrock:", err)
@@ -50,8 +53,9 @@
 	}
 }
 
-// run serves until term, and then until all that was taken is answered.
-func run(c *config, term <-chan os.Signal) error {
+// run serves until term, and then until all that was taken is answered. At each hup
+// it reads the configuration anew.
+func run(c *config, term, hup <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
 	// Requests are short-lived garbage over a small live heap: collecting less
 	// often saves CPU, as far as the memory goes.
@@ -114,6 +118,8 @@
 		select {
 		case now := <-sweep.C:
 			pool.Sweep(now)
+		case <-hup:
+			reload(c, watcher)
 		case <-term:
 			quit(c, host, srv)
 			return nil
@@ -121,6 +127,25 @@
 	}
 }
 
+// reload takes the address of discovery from the configuration as it is now. One
+// that is bad leaves the old in force.
+func reload(c *config, watcher *discovery.Watcher) {
+	next, err := load(fileFirst(os.Getenv))
+	if err != nil {
+		slog.Error("new configuration not taken: the old one stays in force", "err", err)
+		return
+	}
+	if next.discovery != c.discovery {
+		slog.Info("discovery moves", "from", c.discovery, "to", next.discovery)
+		c.discovery = next.discovery
+		watcher.Move(c.discovery)
+	}
+	if !bytes.Equal(next.fixed, c.fixed) {
+		slog.Warn("new configuration: only discovery is taken while running, the rest with the next start")
+	}
+	slog.Info("configuration read again", "discovery", c.discovery)
+}
+
 func quit(c *config, host *sidecar.Host, srv *front.Server) {
 	began := time.Now()
 	var longest time.Duration
--- a/cmd/fawnrock/main_test.go
+++ b/cmd/fawnrock/main_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -170,3 +173,138 @@
 		t.Errorf("exit: %v", err)
 	}
 }
+
+// catalog is a discovery whose list has one server, at an address of its own.
+func catalog(t *testing.T, index int, server string) (addr string, asked <-chan string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	ch := make(chan string, 1000)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				ch <- r.URL.RawQuery
+				line := fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[{"name":"s","address":%q,"zone":"z","status":"up","weight":1}]}`+"\n", index, server)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(line), line)
+				for {
+					time.Sleep(time.Second)
+					if _, err := fmt.Fprint(c, "1\r\n\n\r\n"); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), ch
+}
+
+// says is a server that answers all with the same body.
+func says(t *testing.T, body string) (addr string) {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, body) }))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// lines collects what a process writes.
+type lines struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(p)
+}
+
+func (l *lines) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.all.String(), text)
+}
+
+// SIGHUP reads the configuration anew: discovery is asked at its new address, also
+// where the environment still names the old. One that is bad is logged with its
+// field and changes nothing. Neither ends the process.
+func TestHup(t *testing.T) {
+	first, _ := catalog(t, 50, says(t, "old"))
+	second, asked := catalog(t, 3, says(t, "new"))
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // for an address that is free
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	config := strings.Replace(good, "127.0.0.1:1\"", first+"\"", 1)
+	path := write(t, config)
+	replace := func(old, new string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(strings.Replace(config, old, new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	log := new(lines)
+	cmd := exec.Command(built)
+	cmd.Env = []string{"BALANCER_LISTEN=" + addr, "BALANCER_DISCOVERY=" + first, "BALANCER_CONFIG=" + path}
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	settle := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(patience); !ok(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s; its log:\n%s", what, log.all.String())
+			}
+		}
+	}
+	id := 0
+	answer := func() string {
+		id++
+		req, _ := http.NewRequest("GET", "http://"+addr+"/a", nil)
+		req.Header.Set("Req-Id", fmt.Sprint(id))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return ""
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		return string(body)
+	}
+	settle("never served", func() bool { return answer() == "old" })
+
+	replace(`"attemptsCap":3`, `"attemptsCap":0`)
+	cmd.Process.Signal(syscall.SIGHUP)
+	settle("a bad configuration is not named", func() bool { return log.has("MaxAttempts") })
+	replace(`"discovery":"`+first, `"discovery":"nowhere`)
+	cmd.Process.Signal(syscall.SIGHUP)
+	settle("a bad address is not named", func() bool { return log.has("config: discovery") })
+	if body := answer(); body != "old" {
+		t.Errorf("after bad configurations: answered %q", body)
+	}
+
+	replace(first, second)
+	cmd.Process.Signal(syscall.SIGHUP)
+	settle("the new discovery is not followed", func() bool { return answer() == "new" })
+	if q := <-asked; q != "watch=1" {
+		t.Errorf("the new discovery was asked %q, want the whole list", q)
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -113,13 +113,44 @@
 	Failed func(error)
 	Wait   time.Duration // how long an answer may take to begin
 
-	mu   sync.Mutex
-	conn net.Conn
-	shut bool
+	mu    sync.Mutex
+	conn  net.Conn
+	shut  bool
+	moved bool          // since the last watch began
+	wake  chan struct{} // ends the wait between two watches
+}
+
+// Move sends the watch to another address, at once: the old one may say no more
+// while its connection still stands. Versions of the one mean nothing at the other,
+// so the whole list is asked for.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Addr, w.moved = addr, true
+	if w.conn != nil {
+		w.conn.Close()
+	}
+	if w.wake != nil {
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// hasMoved says whether the watch belongs elsewhere by now.
+func (w *Watcher) hasMoved() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.moved && !w.shut
 }
 
 // Follow keeps a watch open until Close, and calls Failed at each break.
 func (w *Watcher) Follow() {
+	wake := make(chan struct{}, 1)
+	w.mu.Lock()
+	w.wake = wake
+	w.mu.Unlock()
 	backoff := backoffMin
 	for !w.closed() {
 		began := time.Now()
@@ -131,8 +162,12 @@
 		if time.Since(began) > time.Second {
 			backoff = backoffMin
 		}
-		time.Sleep(backoff/2 + rand.N(backoff))
-		backoff = min(2*backoff, backoffMax)
+		select {
+		case <-time.After(backoff/2 + rand.N(backoff)):
+			backoff = min(2*backoff, backoffMax)
+		case <-wake:
+			backoff = backoffMin
+		}
 	}
 }
 
@@ -152,19 +187,34 @@
 	return w.shut
 }
 
-// Watch opens one watch and hands on what it brings until it ends.
+// Watch opens one watch and hands on what it brings until it ends. One that ends
+// because of a move goes on at the new address.
 func (w *Watcher) Watch() error {
+	for {
+		if err := w.watch(); !w.hasMoved() {
+			return err
+		}
+	}
+}
+
+func (w *Watcher) watch() error {
+	w.mu.Lock()
+	if w.moved {
+		w.moved, w.Index = false, 0
+	}
+	addr := w.Addr
+	w.mu.Unlock()
 	d := net.Dialer{Timeout: dialMost, KeepAlive: -1}
-	conn, err := d.Dial("tcp", w.Addr)
+	conn, err := d.Dial("tcp", addr)
 	if err != nil {
 		return fmt.Errorf("discovery: %w", err)
 	}
 	defer conn.Close()
 	w.mu.Lock()
 	w.conn = conn
-	shut := w.shut
+	off := w.shut || w.moved
 	w.mu.Unlock()
-	if shut {
+	if off {
 		return net.ErrClosed
 	}
 	path := "/catalog/members?watch=1"
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -149,3 +149,63 @@
 		})
 	}
 }
+
+// agent is a discovery that tells each query, after its address, and answers all of
+// them with the same line.
+func agent(t *testing.T, name, line string, asked chan<- string) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					asked <- name + " " + r.URL.RawQuery
+					say(false, line)(c)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// A move leaves the old address at once, though it goes on talking, and asks the new
+// one for the whole list: its versions are its own. It ends a wait as well.
+func TestMove(t *testing.T) {
+	asked := make(chan string, 100)
+	old, next := agent(t, "old", list(50, true, entry("a")), asked), agent(t, "next", list(3, true, entry("b")), asked)
+	got := make(chan string, 100)
+	w := &Watcher{Addr: old, Wait: patience, Failed: func(error) {}, Listed: func(l *List) { got <- l.Entries[0].Name }}
+	over := make(chan struct{})
+	go func() { w.Follow(); close(over) }()
+	expect := func(ch <-chan string, want string) {
+		t.Helper()
+		select {
+		case s := <-ch:
+			if s != want {
+				t.Fatalf("%q, want %q", s, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("no %q", want)
+		}
+	}
+	expect(asked, "old watch=1")
+	expect(got, "a")
+	w.Move(next)
+	expect(asked, "next watch=1")
+	expect(got, "b")
+	w.Move("127.0.0.1:1") // nobody there
+	w.Move(old)
+	expect(asked, "old watch=1")
+	expect(got, "a")
+	w.Close()
+	<-over
+}
