Take an answer that is far too long as spoilt

Checked: such an answer was streamed from its first 64 KiB on, so that no other attempt could be made; one without a length and without end was read for ever. Ruled out those that stop or break, which end within 0.4 s. At fault: attempt.go readHead, no bound on an answer's length.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -24,6 +23,8 @@
 	// if its server breaks first, another attempt can still be made.
 	WholeMost = 64 << 10
 	headMost  = 64 << 10 // of a server's answer
+	// answerMost is beyond any answer that is meant: bodies hold 64 KiB.
+	answerMost = 32 << 20
 	// smallSend is what a connection's empty buffer surely takes at once. More
 	// is written by a goroutine of its own.
 	smallSend = 8 << 10
@@ -303,7 +304,10 @@
 	}
 }
 
-var errLongHead = errors.New("upstream: head of the answer too long")
+var (
+	errLongHead   = errors.New("upstream: head of the answer too long")
+	errLongAnswer = errors.New("upstream: answer too long")
+)
 
 const stallMost = 400 * time.Millisecond
 
@@ -392,8 +396,10 @@
 			return nil, err
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.New("upstream: protocol switched")
+		case resp.ContentLength > answerMost:
+			return nil, errLongAnswer // spoilt; begun, it could not be made for a second time
 		case resp.StatusCode >= 200:
-			c.in.left = math.MaxInt64
+			c.in.left = answerMost + headMost // also for one that tells no length and never ends
 			return resp, nil
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -140,6 +140,7 @@
 		{"long and stops", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long)+9, long), chalkrack.Reset, "", len(long)},
 		{"long", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), chalkrack.OK, "", len(long)},
 		{"long in chunks", fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long), chalkrack.OK, "", len(long)},
+		{"said to be huge", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n%s", long), chalkrack.Reset, "", 0},
 		{"long and broken", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%scut", len(long)+9, long), chalkrack.Reset, "", len(long) + 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -157,6 +158,28 @@
 	}
 }
 
+// An answer that tells no length and never ends is broken off.
+func TestEndlessAnswer(t *testing.T) {
+	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
+		readRequest(br)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk := "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n"
+		for range 2 * answerMost / len(chunk) {
+			if _, err := io.WriteString(c, chunk); err != nil {
+				return
+			}
+		}
+		io.WriteString(c, "0\r\n\r\n")
+	})
+	p := newPool(9)
+	p.Serve("s", addr, 0)
+	s := newSink()
+	p.Start(get(s))
+	if r := s.wait(t); r.o != chalkrack.Reset || s.streamed.Len() > answerMost+headMost {
+		t.Errorf("outcome %d, %d streamed", r.o, s.streamed.Len())
+	}
+}
+
 // An answer of no stated length that comes in small pieces is passed on while it
 // comes; one that stops after its first piece is not begun.
 func TestTrickle(t *testing.T) {
