Do not blame a server for this sidecar's own lack of descriptors

Checked: take tells of it as a failed connect, two of which eject a server that nothing was sent to; a dial that fails for EMFILE the same. Ruled out the count of connections, which falls on each path (discard, unbook, takeIdle). At fault: attempt.go Start and dial, one outcome for both. It is NotSent now, which proves as well that nothing ran.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"chalkrack"
@@ -82,9 +83,11 @@
 // Start makes the attempt. It does not wait for the server.
 func (p *Pool) Start(a *Attempt) {
 	a.pool = p
-	c, addr, ok := p.take(a)
+	c, addr, err := p.take(a)
 	switch {
-	case !ok:
+	case errors.Is(err, errNoPlace):
+		a.done(chalkrack.NotSent)
+	case err != nil:
 		a.done(chalkrack.ConnectFailed)
 	case c != nil:
 		a.send(c)
@@ -152,8 +155,13 @@
 
 // dial opens a connection, sends on it and stays as its reader.
 func (a *Attempt) dial(addr string) {
-	c := a.connect(addr)
-	if c == nil {
+	c, err := a.connect(addr)
+	switch {
+	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
+		slog.Warn("no descriptor left for a connection to a server", "err", err)
+		a.done(chalkrack.NotSent)
+		return
+	case err != nil:
 		a.done(chalkrack.ConnectFailed)
 		return
 	}
@@ -161,22 +169,22 @@
 	c.read(a.pool)
 }
 
-func (a *Attempt) connect(addr string) *conn {
+func (a *Attempt) connect(addr string) (*conn, error) {
 	d := net.Dialer{Timeout: a.pool.cfg.DialTimeout, KeepAlive: -1}
 	nc, err := d.Dial("tcp", addr)
 	if err != nil {
 		a.pool.unbook()
-		return nil
+		return nil, err
 	}
 	raw, err := nc.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		nc.Close()
 		a.pool.unbook()
-		return nil
+		return nil, err
 	}
 	c := &conn{Conn: nc, raw: raw, to: a.to, addr: addr, owner: a, in: capped{Conn: nc}}
 	c.br = bufio.NewReaderSize(&c.in, 4<<10)
-	return c
+	return c, nil
 }
 
 func (a *Attempt) sendGuarded(c *conn) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"log/slog"
 	"net"
 	"sync"
@@ -201,9 +202,15 @@
 	}
 }
 
+var (
+	errUnlisted = errors.New("upstream: server not listed")
+	// errNoPlace is this sidecar's own trouble: guards against blaming a server for it.
+	errNoPlace = errors.New("upstream: all connections in use")
+)
+
 // take gives a the newest idle connection to its server that is still good. With
-// none it books a place for a new one; ok says whether there was one.
-func (p *Pool) take(a *Attempt) (c *conn, addr string, ok bool) {
+// none it books a place for a new one.
+func (p *Pool) take(a *Attempt) (c *conn, addr string, err error) {
 	now := time.Now()
 	p.mu.Lock()
 	var old []*conn
@@ -213,7 +220,7 @@
 	}()
 	s := p.servers[a.Server]
 	if s == nil {
-		return nil, "", false // gone between the decision and now
+		return nil, "", errUnlisted // gone between the decision and now
 	}
 	a.to = s
 	for len(s.idle) > 0 {
@@ -222,7 +229,7 @@
 			s.idle = s.idle[:len(s.idle)-1]
 			c.owner = a
 			a.idle, a.uses = now.Sub(c.used), c.uses
-			return c, "", true
+			return c, "", nil
 		}
 		old = append(old, c)
 		p.drop(c)
@@ -231,13 +238,13 @@
 		c := p.longestIdle()
 		if c == nil {
 			slog.Warn("no descriptor left for a connection to a server", "conns", p.conns)
-			return nil, "", false
+			return nil, "", errNoPlace
 		}
 		old = append(old, c)
 		p.drop(c)
 	}
 	p.conns++
-	return nil, s.addr, true
+	return nil, s.addr, nil
 }
 
 // longestIdle is the connection that has been idle for the longest, nil if none is.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -234,6 +234,32 @@
 	}
 }
 
+// With all connections in use an attempt was never made: its server is not to blame.
+// An idle one to another server gives way.
+func TestNoPlaceLeft(t *testing.T) {
+	silent, _ := fake(t, func(_ net.Conn, br *bufio.Reader) { readRequest(br); br.ReadByte() })
+	quick, _ := fake(t, each(hi))
+	p := newPool(2)
+	p.Serve("s", quick, 0)
+	if r := try(t, p); r.o != chalkrack.OK {
+		t.Fatalf("outcome %d", r.o)
+	}
+	settle(t, "not idle", func() bool { return p.idle("s") == 1 })
+	p.Serve("silent", silent, 0)
+	for range 2 {
+		a := get(newSink())
+		a.Server = "silent"
+		p.Start(a)
+		settle(t, "never began", func() bool { a.mu.Lock(); defer a.mu.Unlock(); return a.wrote })
+	}
+	if r := try(t, p); r.o != chalkrack.NotSent {
+		t.Errorf("outcome %d without a place", r.o)
+	}
+	if p.Conns() != 2 || p.idle("s") != 0 {
+		t.Errorf("%d connections, %d idle", p.Conns(), p.idle("s"))
+	}
+}
+
 // A break before the last byte is written proves that nothing ran.
 func TestBreakWhileWriting(t *testing.T) {
 	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
@@ -369,9 +395,9 @@
 	s := newSink()
 	a := get(s)
 	a.pool = p
-	_, to, ok := p.take(a)
-	if !ok {
-		t.Fatal("no connection")
+	_, to, err := p.take(a)
+	if err != nil {
+		t.Fatal(err)
 	}
 	p.Leave("s", false)
 	time.Sleep(time.Millisecond)
