Pass over load reports that make no sense

Checked: 'inflight=NaN' parses as a number; a server with it costs NaN, which compares as neither more nor less, and stays so until its next report. At fault: attempt.go ParseLoad took every float.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -478,15 +478,19 @@
 
 var streamBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
 
-// ParseLoad reads a load report: name=value, with commas between.
+// loadMost is beyond any load that a server can have.
+const loadMost = 1e6
+
+// ParseLoad reads a load report: name=value, with commas between. What makes no
+// sense is passed over.
 func ParseLoad(text string) (rep chalkrack.Report) {
 	for text != "" {
 		var field string
 		field, text, _ = strings.Cut(text, ",")
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			continue
+		if err != nil || !(v >= 0 && v <= loadMost) {
+			continue // "NaN" parses too, and no server compares as less loaded than that
 		}
 		switch name {
 		case "inflight", "busy_reqs":
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -475,7 +475,9 @@
 	if !r.HasInFlight || r.InFlight != 7 || !r.HasUtil || r.Util != 0.61 {
 		t.Errorf("%+v", r)
 	}
-	if r := ParseLoad(""); r.HasInFlight || r.HasUtil {
-		t.Errorf("of nothing: %+v", r)
+	for _, bad := range []string{"", "inflight", "inflight=NaN,util=nan", "inflight=Inf,util=-Inf", "inflight=-3,util=-0.1", "inflight=1e300"} {
+		if r := ParseLoad(bad); r.HasInFlight || r.HasUtil {
+			t.Errorf("of %q: %+v", bad, r)
+		}
 	}
 }
