Let a server work on after an interim answer

Checked: on loopback an answer that comes 0.4 s after its 102 is a reset, which fails an unsafe request that was being served. Ruled out several at once, which were read past. At fault: attempt.go readHead, the limit on pauses within an answer held between an interim answer and the final one.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -396,8 +396,11 @@
 	return a.wrote && !a.ended
 }
 
+// readHead reads an answer's head, past interim ones. Behind these the server may
+// work for as long as before its first byte: the limit on pauses waits for the next.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	for {
+	stall := c.in.pausing
+	for ; ; c.in.pausing = stall {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		switch {
 		case err != nil:
@@ -410,6 +413,10 @@
 			c.in.left = answerMost + headMost // also for one that tells no length and never ends
 			return resp, nil
 		}
+		c.in.calm()
+		if _, err := c.br.Peek(1); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -158,6 +158,25 @@
 	}
 }
 
+// A server may send an interim answer early and work on for long.
+func TestInterimThenWork(t *testing.T) {
+	const stall = 50 * time.Millisecond
+	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
+		readRequest(br)
+		for range 2 {
+			io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\n")
+			time.Sleep(4 * stall)
+		}
+		io.WriteString(c, hi)
+	})
+	p := newPool(9)
+	p.stall = stall
+	p.Serve("s", addr, 0)
+	if r := try(t, p); r.o != chalkrack.OK || r.body != "hi" {
+		t.Errorf("outcome %d, %q", r.o, r.body)
+	}
+}
+
 // An answer that tells no length and never ends is broken off.
 func TestEndlessAnswer(t *testing.T) {
 	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
