Begin a repeat within its window or not at all

Checked: an attempt on a new connection was written whenever that came up; only a drain's grace was looked at again. Ruled out reused connections (sent at once) and the balancer's own check. At fault: attempt.go send. The host tells each repeat of a keyed request that may have run when it is too late to begin.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,11 +54,23 @@
 	id       chalkrack.RequestID
 	x        *front.Exchange
 	deadline time.Duration
+	window   time.Duration // of a keyed one: how long its repeats are dropped
 	attempts []*attempt
 	out      int
 	over     bool
 }
 
+// repeatBefore is when it is too late to repeat a keyed request: a window after the
+// first send that may have run; 0 if none has, or for other requests.
+func (q *request) repeatBefore() time.Duration {
+	for _, a := range q.attempts {
+		if q.window > 0 && !a.neverRan {
+			return a.sent + q.window
+		}
+	}
+	return 0
+}
+
 type attempt struct {
 	upstream.Attempt
 	host *Host
@@ -67,7 +79,8 @@
 	sent time.Duration
 	done bool
 
-	stream *front.Stream
+	neverRan bool
+	stream   *front.Stream
 }
 
 // outcomes are the words of the log.
@@ -129,7 +142,7 @@
 			deadline = min(deadline, h.quitAt)
 		}
 		h.last++
-		q := &request{id: h.last, x: x, deadline: deadline}
+		q := &request{id: h.last, x: x, deadline: deadline, window: h.window(class)}
 		x.State = q
 		h.held[q.id] = q
 		h.after(alarm{at: deadline, q: q})
@@ -143,6 +156,14 @@
 	})
 }
 
+// window is how long servers drop repeats of a class's requests, 0 if they are not keyed.
+func (h *Host) window(class int) time.Duration {
+	if class < 0 || h.set.Config.Classes[class].Effect != chalkrack.Keyed {
+		return 0
+	}
+	return h.set.Config.Classes[class].Window
+}
+
 // longest is a class's own deadline, that of the longest for one unknown.
 func (h *Host) longest(class int) (d time.Duration) {
 	for n, own := range h.set.Deadlines {
@@ -244,6 +265,9 @@
 	}
 	a := &attempt{host: h, q: q, n: len(q.attempts), sent: h.now()}
 	a.Attempt = upstream.Attempt{Request: &q.x.Request, Server: server, Deadline: time.Now().Add(timeout), Sink: a}
+	if end := q.repeatBefore(); end > 0 {
+		a.NotAfter = time.Now().Add(end - a.sent)
+	}
 	q.attempts = append(q.attempts, a)
 	q.out++
 	h.actions = append(h.actions, func() { h.pool.Start(&a.Attempt) })
@@ -386,7 +410,7 @@
 		return
 	}
 	q := a.q
-	a.done = true
+	a.done, a.neverRan = true, o.NeverRan()
 	q.out--
 	switch {
 	case q.over:
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -87,7 +87,8 @@
 		"maxRetryAfterUs":1000000,"connIdleUs":30000000,"dialTimeoutUs":2000000,"mostHeld":1000},
 		"guarantees":{"drainGraceUs":2000000},"classes":[
 		{"name":"a","effect":"repeatable","promiseUs":10000000,"hardLimitUs":20000000,"worth":1},
-		{"name":"u","effect":"once","promiseUs":10000000,"hardLimitUs":20000000,"worth":1}]}`))
+		{"name":"u","effect":"once","promiseUs":10000000,"hardLimitUs":20000000,"worth":1},
+		{"name":"k","effect":"by_key","dedupScope":"all","repeatWindowUs":8000000,"promiseUs":10000000,"hardLimitUs":20000000,"worth":1}]}`))
 	if err != nil {
 		panic(err)
 	}
@@ -252,6 +253,35 @@
 	}
 }
 
+// A repeat of a keyed request that may have run begins within its window or not at all,
+// however long its connection takes to come up. One that never ran has no such end.
+func TestRepeatWindow(t *testing.T) {
+	for first, bound := range map[string]bool{"close": true, declined: false} {
+		turn := new(atomic.Int32)
+		do := func(int, *http.Request, string) string {
+			if turn.Add(1) == 1 {
+				return first
+			}
+			return ""
+		}
+		h, _, addr := start(t, testSettings(), newServer(t, do), newServer(t, do))
+		c := send(t, addr, "k", "", "")
+		defer c.Close()
+		settle(t, "not sent twice", func() bool { return turn.Load() == 2 })
+		h.mu.Lock()
+		for _, q := range h.held {
+			a, b := q.attempts[0], q.attempts[1]
+			if left := time.Until(b.NotAfter); bound && (left <= 0 || left > q.window-(h.now()-a.sent)+time.Second) || bound == b.NotAfter.IsZero() {
+				t.Errorf("after %q: may begin until %v", first, b.NotAfter)
+			}
+			if !a.NotAfter.IsZero() {
+				t.Error("the first send has an end")
+			}
+		}
+		h.mu.Unlock()
+	}
+}
+
 // A server that has gone gets nothing more, and one that comes is used.
 func TestListChanges(t *testing.T) {
 	s, next := newServer(t, always(ok("old"))), newServer(t, always(ok("new")))
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -59,6 +59,7 @@
 	Request  *Request
 	Server   string
 	Deadline time.Time // when the sidecar stops waiting
+	NotAfter time.Time // when it is too late to begin; zero: never
 	Sink     Sink
 
 	pool *Pool
@@ -193,7 +194,9 @@
 }
 
 func (a *Attempt) send(c *conn) {
-	late := a.pool.late(a.to) // a slow dial must not carry work past a drain's grace
+	// A slow dial must not carry work past a drain's grace, nor a repeat past the time
+	// for which servers drop it.
+	late := a.pool.late(a.to) || !a.NotAfter.IsZero() && time.Now().After(a.NotAfter)
 	a.mu.Lock()
 	a.conn = c
 	if a.ended || late || a.readFailed {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -429,6 +429,27 @@
 	}
 }
 
+// Nor may a repeat that its connection came up too late for.
+func TestNotAfter(t *testing.T) {
+	heard := make(chan string, 1)
+	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
+		line, _ := br.ReadString('\n')
+		heard <- line
+	})
+	p := newPool(9)
+	p.Serve("s", addr, 0)
+	s := newSink()
+	a := get(s)
+	a.NotAfter = time.Now()
+	p.Start(a)
+	if r := s.wait(t); r.o != chalkrack.ConnectFailed {
+		t.Errorf("outcome %d", r.o)
+	}
+	if line := <-heard; line != "" {
+		t.Errorf("the server heard %q", line)
+	}
+}
+
 // An attempt that is given up while its connection comes up never begins.
 func TestAbandonBeforeConnected(t *testing.T) {
 	heard := make(chan string, 1)
