Let a client that is turned away see why

Seen: by reading; reject's comment says it reads off what still comes, and 'the answer would be taken back' otherwise. Checked: on loopback such a client has its connection reset while it sends: answer closes a connection that does not go on, before reject gets to linger. Ruled out clients that have sent all, which see the answer. At fault: front.go reject answered as if to a request. It writes by itself now, reads off 1 MB at the most, and gives way to others meanwhile.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,8 +30,9 @@
 	// A client that takes nothing of its answer for so long has hung.
 	writeMost = 10 * time.Second
 	// How long a refused connection is read off, so that its client sees why.
-	lingerMost = 2 * time.Second
-	freshMost  = 500 * time.Millisecond
+	lingerMost  = 2 * time.Second
+	lingerBytes = 1 << 20
+	freshMost   = 500 * time.Millisecond
 )
 
 // Handler takes requests. Each Exchange that arrives is ended once, by one of
@@ -488,15 +489,22 @@
 }
 
 // reject answers what is no request and closes the connection, after reading off
-// what the client still sends: closing at once would take the answer back.
+// what the client still sends: closing at once would take the answer back. What it
+// sends beyond lingerBytes is not worth the reading. Meanwhile the connection counts
+// as idle, so that it gives way to others.
 func (c *conn) reject(status int) {
 	x := &Exchange{conn: c}
-	x.answer(status, "", nil, nil)
+	b := append(appendLength(x.head(nil, status, "", nil), 0), "\r\n"...)
+	c.nc.SetWriteDeadline(time.Now().Add(lingerMost))
+	c.nc.Write(b)
 	if tc, ok := c.nc.(*net.TCPConn); ok {
 		tc.CloseWrite()
 	}
+	c.srv.mu.Lock()
+	c.busy, c.since = false, time.Now()
+	c.srv.mu.Unlock()
 	c.nc.SetReadDeadline(time.Now().Add(lingerMost))
-	io.CopyN(io.Discard, c.nc, bodyMost)
+	io.CopyN(io.Discard, c.nc, lingerBytes)
 }
 
 const (
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -323,6 +323,26 @@
 	}
 }
 
+// A client that is turned away while it still sends sees why, all of it.
+func TestRejectIsSeen(t *testing.T) {
+	s, _, dial := start(t, Config{}, echo)
+	for range 20 {
+		c := dial().say(request("POST /a", ids+field("Content-Length", "x")))
+		for range 8 {
+			c.say(strings.Repeat("x", lingerBytes/16))
+			time.Sleep(time.Millisecond)
+		}
+		if status, _, h := c.hear(); status != 400 || h.Get("Connection") != "close" {
+			t.Fatalf("answered %d %v", status, h)
+		}
+		if !c.closed() {
+			t.Error("not closed")
+		}
+		c.Close()
+	}
+	settle(t, "still counted", func() bool { return s.Conns() == 0 })
+}
+
 // The id of a request that waits for its answer is its own: another with it is
 // turned away and the first is not disturbed. Once that is over, or its client has
 // left, the id is free.
