Name each field of the configuration that can't be used

Seen: by reading; 'effect: repeatible' starts the program, with an unsafe class taken for one that may be repeated. Checked: words that are not known fell through to the first of their kind, negative times to time-outs in the past, a port by name to a dial that always fails, 1e18 MB to a negative limit of memory. At fault: settings.go had no check at all, config.go looked at a few fields. Ruled out what the decision module checks for itself.

--- a/cmd/fawnrock/config.go
+++ b/cmd/fawnrock/config.go
@@ -27,8 +27,22 @@
 const (
 	memoryLeast  = 32
 	socketsLeast = 32
+	most         = 1 << 20 // of each limit, in its unit: more is a slip
 )
 
+// checkAddress wants a host and the number of a port: there is no DNS, and a name
+// that is found nowhere would only show once it is used.
+func checkAddress(addr string, portLeast int) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < portLeast || n > 65535 || host == "" {
+		return fmt.Errorf("%q is no address with a port", addr)
+	}
+	return nil
+}
+
 // fileFirst hides the address of discovery in the environment, which is that of the
 // start: at a reload the file has the newer one.
 func fileFirst(getenv func(string) string) func(string) string {
@@ -78,21 +92,22 @@
 	if v := getenv("BALANCER_DISCOVERY"); v != "" {
 		c.discovery = v
 	}
-	for _, f := range []struct{ name, addr string }{{"listen", c.listen}, {"discovery", c.discovery}} {
-		if _, _, err := net.SplitHostPort(f.addr); err != nil {
-			return nil, fmt.Errorf("config: %s: %w", f.name, err)
-		}
+	if err := checkAddress(c.listen, 0); err != nil {
+		return nil, fmt.Errorf("config: listen: %w", err)
+	}
+	if err := checkAddress(c.discovery, 1); err != nil {
+		return nil, fmt.Errorf("config: discovery: %w", err)
 	}
 	if c.seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("config: seed: %w", err)
 	}
 	switch {
-	case !(c.cores > 0):
-		return nil, errors.New("config: limits.cores must be above 0")
-	case c.memoryMB < memoryLeast:
-		return nil, fmt.Errorf("config: limits.memory_mb must be at least %d", memoryLeast)
-	case c.sockets < socketsLeast:
-		return nil, fmt.Errorf("config: limits.sockets must be at least %d", socketsLeast)
+	case !(c.cores > 0 && c.cores <= most):
+		return nil, fmt.Errorf("config: limits.cores must be above 0, %d at most", most)
+	case !(raw.Limits.MemoryMB >= memoryLeast && raw.Limits.MemoryMB <= most):
+		return nil, fmt.Errorf("config: limits.memory_mb must be within %d and %d", memoryLeast, most)
+	case !(raw.Limits.Sockets >= socketsLeast && raw.Limits.Sockets <= most):
+		return nil, fmt.Errorf("config: limits.sockets must be within %d and %d", socketsLeast, most)
 	case len(raw.Settings) == 0:
 		return nil, errors.New("config: settings is missing")
 	}
@@ -115,6 +130,11 @@
 	case s.DrainGrace < 0:
 		return nil, errors.New("config: settings.guarantees.drainGraceUs must be 0 or more")
 	}
+	for n, d := range s.Deadlines {
+		if d <= 0 {
+			return nil, fmt.Errorf("config: settings.classes[%d].hardLimitUs must be above 0", n)
+		}
+	}
 	if err := s.Config.Validate(); err != nil {
 		return nil, fmt.Errorf("config: settings: %w", err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"chalkrack"
@@ -68,12 +71,15 @@
 	Zone         string
 }
 
-// Parse reads the settings object.
+// Parse reads the settings object. Errors name the field.
 func Parse(data []byte) (*Settings, error) {
 	var e env
 	if err := json.Unmarshal(data, &e); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := e.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	s := &Settings{
 		Config:      config(&e),
 		ConnIdle:    micros(e.Caps.ConnIdleUs),
@@ -93,6 +99,76 @@
 	return s, nil
 }
 
+// usMost is the longest time in microseconds that a Duration holds.
+const usMost = math.MaxInt64 / int64(time.Microsecond)
+
+// checker keeps the first complaint.
+type checker struct{ err error }
+
+func (c *checker) need(ok bool, field, want string, args ...any) {
+	if !ok && c.err == nil {
+		c.err = fmt.Errorf("%s must be "+want, append([]any{field}, args...)...)
+	}
+}
+
+func (c *checker) times(prefix string, fields map[string]int64) {
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		c.need(fields[name] >= 0 && fields[name] <= usMost, prefix+name, "within 0 and %d", usMost)
+	}
+}
+
+func (c *checker) amounts(prefix string, fields map[string]float64) {
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		c.need(fields[name] >= 0, prefix+name, "0 or more")
+	}
+}
+
+func (c *checker) word(field, got string, known ...string) {
+	c.need(slices.Contains(known, got), field, "one of %q, not %q", known, got)
+}
+
+func (c *checker) name(field, got string, seen map[string]bool) {
+	c.need(got != "" && !seen[got], field, "set and the only one of its kind, not %q", got)
+	seen[got] = true
+}
+
+// check says which field can't be used. Guards above all against a word that is not
+// known: an effect taken for 'repeatable' would have requests run twice.
+func (e *env) check() error {
+	var c checker
+	g := &e.Guarantees
+	c.times("caps.", map[string]int64{"maxRetryAfterUs": e.Caps.MaxRetryAfterUs, "connIdleUs": e.Caps.ConnIdleUs, "dialTimeoutUs": e.Caps.DialTimeoutUs})
+	c.times("guarantees.", map[string]int64{"askWithinUs": g.AskWithinUs, "coldUs": g.ColdUs, "drainGraceUs": g.DrainGraceUs, "overloadForUs": g.OverloadForUs})
+	c.amounts("costs.", map[string]float64{"connection": e.Costs.Connection, "crossZone": e.Costs.CrossZone, "probe": e.Costs.Probe, "waste": e.Costs.Waste})
+	c.amounts("", map[string]float64{"overShareWorth": e.OverShareWorth})
+	c.word("registryMode", e.RegistryMode, "", "automatic", "subscribe")
+	c.need(e.RegistryMode != "subscribe" || g.AskWithinUs > 0, "guarantees.askWithinUs", "above 0 where the list must be asked for")
+	e.checkClasses(&c)
+	seen := make(map[string]bool)
+	for n, t := range e.Tenants {
+		at := fmt.Sprintf("tenants[%d].", n)
+		c.name(at+"name", t.Name, seen)
+		c.amounts(at, map[string]float64{"allowancePerS": t.AllowancePerS})
+	}
+	return c.err
+}
+
+func (e *env) checkClasses(c *checker) {
+	seen := make(map[string]bool)
+	for n, class := range e.Classes {
+		at := fmt.Sprintf("classes[%d].", n)
+		c.name(at+"name", class.Name, seen)
+		c.word(at+"effect", class.Effect, "repeatable", "by_key", "once")
+		scopes := []string{"all", "zone", "cell", ""}
+		if class.Effect == "by_key" {
+			scopes = scopes[:3]
+		}
+		c.word(at+"dedupScope", class.DedupScope, scopes...)
+		c.times(at, map[string]int64{"promiseUs": class.PromiseUs, "hardLimitUs": class.HardLimitUs, "repeatWindowUs": class.RepeatWindowUs})
+		c.amounts(at, map[string]float64{"worth": class.Worth, "lateValue": class.LateValue})
+	}
+}
+
 // Class is the place of a class, -1 if there is none of that name.
 func (s *Settings) Class(name []byte) int { return index(s.classes, name) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +35,38 @@
 		t.Error("a list passed as settings")
 	}
 }
+
+// What is not understood stops the start, by its name: guessed, an effect or a scope
+// would have requests run twice.
+func TestBadSettings(t *testing.T) {
+	const good = `{"registryMode":"automatic","overShareWorth":0.5,
+		"tenants":[{"name":"p","allowancePerS":7.5},{"name":"q"}],
+		"caps":{"connIdleUs":30000000},"costs":{"waste":0.2},"guarantees":{"coldUs":5},
+		"classes":[{"name":"a","promiseUs":5,"hardLimitUs":6,"effect":"by_key","dedupScope":"cell","worth":2},{"name":"b","promiseUs":7,"effect":"once"}]}`
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, names string }{
+		{`"by_key"`, `"keyed"`, "classes[0].effect"},
+		{`,"effect":"once"`, ``, "classes[1].effect"},
+		{`"cell"`, `"rack"`, "classes[0].dedupScope"},
+		{`,"dedupScope":"cell"`, ``, "classes[0].dedupScope"},
+		{`"name":"b"`, `"name":"a"`, "classes[1].name"},
+		{`"name":"b",`, ``, "classes[1].name"},
+		{`"name":"q"`, `"name":"p"`, "tenants[1].name"},
+		{`7.5`, `-1`, "tenants[0].allowancePerS"},
+		{`"worth":2`, `"worth":-2`, "classes[0].worth"},
+		{`"promiseUs":5`, `"promiseUs":-5`, "classes[0].promiseUs"},
+		{`"hardLimitUs":6`, `"hardLimitUs":9223372036854775807`, "classes[0].hardLimitUs"},
+		{`30000000`, `-1`, "caps.connIdleUs"},
+		{`"coldUs":5`, `"coldUs":-5`, "guarantees.coldUs"},
+		{`"waste":0.2`, `"waste":-0.2`, "costs.waste"},
+		{`"automatic"`, `"carrier pigeon"`, "registryMode"},
+		{`"automatic"`, `"subscribe"`, "guarantees.askWithinUs"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.names) {
+			t.Errorf("%s in place of %s: %v, want %s named", c.new, c.old, err, c.names)
+		}
+	}
+}
