Learn how long connections idle only from breaks that idling explains

Checked: the breaks were of servers that reset a connection under a request, or closed it right after an answer; connections that idled for longer were well. Ruled out attempts called off here (ended is looked at). At fault: pool.go crossed halved the idle time whatever it had been.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,6 +30,8 @@
 
 	idleMost time.Duration
 	learned  time.Time     // when idleMost last changed
+	lasted   time.Duration // the longest idling that a connection came through lately
+	lastedAt time.Time
 	early    time.Duration // earlyBreak; tests have more patience, as with stall
 	stall    time.Duration
 }
@@ -76,9 +78,15 @@
 // which servers say that they close it.
 func (p *Pool) idleCap() time.Duration { return p.cfg.ConnIdle * 6 / 10 }
 
+// crossed learns from a connection that broke as soon as it was used after idling.
+// Guards against learning from a server that dies or breaks off: what idled for a
+// moment, or for less than others that are well, did not break of that.
 func (p *Pool) crossed(idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if idle < idleLeast || idle <= p.lasted && time.Since(p.lastedAt) < idleRelearn {
+		return
+	}
 	p.learned = time.Now()
 	if most := max(idle/2, idleLeast); most < p.idleMost {
 		p.idleMost = most
@@ -276,7 +284,11 @@
 	if c.dead || c.addr != c.to.addr || !c.to.left.IsZero() {
 		return false
 	}
-	c.owner, c.used = nil, time.Now()
+	now := time.Now()
+	if idle := c.owner.idle; idle >= p.lasted || now.Sub(p.lastedAt) >= idleRelearn {
+		p.lasted, p.lastedAt = idle, now
+	}
+	c.owner, c.used = nil, now
 	c.uses++
 	c.to.idle = append(c.to.idle, c)
 	return true
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -387,6 +387,39 @@
 	}
 }
 
+// A break that idling does not explain teaches nothing: a connection used again at
+// once, and one that idled for less than another that was well.
+func TestBreakOfOtherCause(t *testing.T) {
+	const idle = 20 * idleLeast
+	for _, idled := range []time.Duration{0, idle / 10} {
+		answers := make(chan bool, 3)
+		addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
+			for readRequest(br) == nil && <-answers {
+				io.WriteString(c, hi)
+			}
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		})
+		p := newPool(9)
+		p.early = patience
+		p.Serve("s", addr, 0)
+		for n, wait := range []time.Duration{idle, idled, 0} {
+			answers <- n < 2
+			if r := try(t, p); (r.o == chalkrack.OK) != (n < 2) {
+				t.Fatalf("send %d: outcome %d", n, r.o)
+			}
+			if n < 2 {
+				settle(t, "not idle", func() bool { return p.idle("s") == 1 })
+			}
+			time.Sleep(wait)
+		}
+		if p.mu.Lock(); p.idleMost != p.idleCap() {
+			t.Errorf("broken after %v, %v being well: kept idle for %v only", idled, idle, p.idleMost)
+		}
+		p.mu.Unlock()
+	}
+}
+
 // An idle connection must not take a request to an address that a server has left.
 func TestAddressChanges(t *testing.T) {
 	old, _ := fake(t, each(hi))
