Bound the writing of small answers too

Seen: by reading. Checked: only answers over 4 KB had a deadline; one goroutine may carry the answers of many requests that are due at once, and a client whose buffers are full would hold up those of all others. At fault: exchange.go answer.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -143,10 +143,9 @@
 	b := appendLength(x.head((*buf)[:0], status, field, h), int64(len(body)))
 	b = append(b, "\r\n"...)
 	b = append(b, body...)
-	if len(body) > 4<<10 {
-		c.nc.SetWriteDeadline(time.Now().Add(writeMost))
-		defer c.nc.SetWriteDeadline(time.Time{})
-	}
+	// Small ones too: guards against a client that asks and never reads, whose full
+	// buffers would hold up whoever brings the answer.
+	c.nc.SetWriteDeadline(time.Now().Add(writeMost))
 	_, err := c.nc.Write(b)
 	*buf = b
 	giveBack(buf)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -343,6 +343,38 @@
 	settle(t, "still counted", func() bool { return s.Conns() == 0 })
 }
 
+// deadlined is a connection that knows whether a write may take for ever.
+type deadlined struct {
+	net.Conn
+	until   time.Time
+	forever bool
+}
+
+func (d *deadlined) SetWriteDeadline(t time.Time) error {
+	d.until = t
+	return d.Conn.SetWriteDeadline(t)
+}
+
+func (d *deadlined) Write(p []byte) (int, error) {
+	d.forever = d.forever || d.until.IsZero()
+	return d.Conn.Write(p)
+}
+
+// No client that reads nothing can hold up whoever brings its answer, however small.
+func TestAnswersAreBounded(t *testing.T) {
+	nc, other := net.Pipe()
+	defer other.Close()
+	go io.Copy(io.Discard, other)
+	s := New(Config{}, &fake{})
+	d := &deadlined{Conn: nc}
+	c := &conn{srv: s, nc: d}
+	c.served.L = &s.mu
+	(&Exchange{conn: c, keep: true}).Fail()
+	if d.forever {
+		t.Error("an answer is written without a deadline")
+	}
+}
+
 // The id of a request that waits for its answer is its own: another with it is
 // turned away and the first is not disturbed. Once that is over, or its client has
 // left, the id is free.
