Hold back the last byte of what must not run twice where connections break

Ruled out stale idle connections (quiet sees their end) and the learned idle time. All of the request had been written, so it may have run. At fault: attempt.go send, which gave such a request no chance to be provably unbegun. Servers begin with the last byte: it goes 3 ms later, only for unsafe requests and within 5 s of such a break. A break before is a failed connect.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,7 +54,7 @@
 	id       chalkrack.RequestID
 	x        *front.Exchange
 	deadline time.Duration
-	window   time.Duration // of a keyed one: how long its repeats are dropped
+	class    *chalkrack.Class // nil: unknown
 	attempts []*attempt
 	out      int
 	over     bool
@@ -63,9 +63,12 @@
 // repeatBefore is when it is too late to repeat a keyed request: a window after the
 // first send that may have run; 0 if none has, or for other requests.
 func (q *request) repeatBefore() time.Duration {
+	if q.class == nil || q.class.Effect != chalkrack.Keyed {
+		return 0
+	}
 	for _, a := range q.attempts {
-		if q.window > 0 && !a.neverRan {
-			return a.sent + q.window
+		if !a.neverRan {
+			return a.sent + q.class.Window
 		}
 	}
 	return 0
@@ -142,7 +145,10 @@
 			deadline = min(deadline, h.quitAt)
 		}
 		h.last++
-		q := &request{id: h.last, x: x, deadline: deadline, window: h.window(class)}
+		q := &request{id: h.last, x: x, deadline: deadline}
+		if class >= 0 {
+			q.class = &h.set.Config.Classes[class]
+		}
 		x.State = q
 		h.held[q.id] = q
 		h.after(alarm{at: deadline, q: q})
@@ -156,14 +162,6 @@
 	})
 }
 
-// window is how long servers drop repeats of a class's requests, 0 if they are not keyed.
-func (h *Host) window(class int) time.Duration {
-	if class < 0 || h.set.Config.Classes[class].Effect != chalkrack.Keyed {
-		return 0
-	}
-	return h.set.Config.Classes[class].Window
-}
-
 // longest is a class's own deadline, that of the longest for one unknown.
 func (h *Host) longest(class int) (d time.Duration) {
 	for n, own := range h.set.Deadlines {
@@ -265,6 +263,7 @@
 	}
 	a := &attempt{host: h, q: q, n: len(q.attempts), sent: h.now()}
 	a.Attempt = upstream.Attempt{Request: &q.x.Request, Server: server, Deadline: time.Now().Add(timeout), Sink: a}
+	a.Once = q.class != nil && q.class.Effect == chalkrack.Unsafe
 	if end := q.repeatBefore(); end > 0 {
 		a.NotAfter = time.Now().Add(end - a.sent)
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -271,7 +271,7 @@
 		h.mu.Lock()
 		for _, q := range h.held {
 			a, b := q.attempts[0], q.attempts[1]
-			if left := time.Until(b.NotAfter); bound && (left <= 0 || left > q.window-(h.now()-a.sent)+time.Second) || bound == b.NotAfter.IsZero() {
+			if left := time.Until(b.NotAfter); bound && (left <= 0 || left > q.class.Window-(h.now()-a.sent)+time.Second) || bound == b.NotAfter.IsZero() {
 				t.Errorf("after %q: may begin until %v", first, b.NotAfter)
 			}
 			if !a.NotAfter.IsZero() {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -60,6 +60,7 @@
 	Server   string
 	Deadline time.Time // when the sidecar stops waiting
 	NotAfter time.Time // when it is too late to begin; zero: never
+	Once     bool      // must not run twice
 	Sink     Sink
 
 	pool *Pool
@@ -67,6 +68,7 @@
 
 	mu         sync.Mutex
 	conn       *conn
+	held       bool // all but the last byte is written, to see whether the connection breaks
 	ended      bool // abandoned, or its connection is of no more use
 	began      bool // the first byte may have been written
 	wrote      bool
@@ -206,7 +208,8 @@
 		a.done(chalkrack.ConnectFailed)
 		return
 	}
-	a.began, a.sentAt = true, time.Now()
+	hold := a.Once && a.pool.brittle()
+	a.began, a.sentAt = !hold, time.Now()
 
 	buf := buffers.Get().(*[]byte)
 	head := append((*buf)[:0], a.Request.Head...)
@@ -221,6 +224,13 @@
 		for _, piece := range a.Request.Body {
 			head = append(head, piece...)
 		}
+		if hold {
+			a.holdBack(c, head)
+			a.mu.Unlock()
+			*buf = head
+			buffers.Put(buf)
+			return
+		}
 		// The lock stays: an answer may come before the write returns.
 		n, err := c.Write(head)
 		failed := a.sent(n == size)
@@ -230,6 +240,7 @@
 		a.afterSend(c, n == size, failed, err)
 		return
 	}
+	a.began = true
 	a.mu.Unlock()
 	go func() {
 		defer a.guard()
@@ -242,6 +253,42 @@
 	}()
 }
 
+// commitAfter is how long the last byte of a request is held back: the word of a
+// broken connection has come by then from any zone.
+const commitAfter = 3 * time.Millisecond
+
+// holdBack writes a request but for its last byte, and that a little later if the
+// connection still stands. Guards a request that must not run twice against brittle
+// connections: servers begin with the last byte, so one that breaks before it proves
+// that nothing ran, and another attempt can be made. It is called with the lock held.
+func (a *Attempt) holdBack(c *conn, request []byte) {
+	most, last := request[:len(request)-1], request[len(request)-1]
+	a.held = true
+	if _, err := c.Write(most); err != nil {
+		a.readFailed = true // the commit tells of it
+	}
+	time.AfterFunc(a.pool.hold, func() {
+		defer a.guard()
+		a.commit(c, last)
+	})
+}
+
+func (a *Attempt) commit(c *conn, last byte) {
+	a.mu.Lock()
+	if a.ended || a.readFailed {
+		a.ended = true
+		a.mu.Unlock()
+		a.pool.discard(c)
+		a.done(chalkrack.ConnectFailed)
+		return
+	}
+	a.held, a.began = false, true
+	n, err := c.Write([]byte{last})
+	failed := a.sent(n == 1)
+	a.mu.Unlock()
+	a.afterSend(c, n == 1, failed, err)
+}
+
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
 
 func (a *Attempt) sent(whole bool) (readFailed bool) {
@@ -303,15 +350,18 @@
 // broken takes a connection's end before any byte of an answer.
 func (a *Attempt) broken() {
 	a.mu.Lock()
-	wrote := a.wrote
+	wrote, held := a.wrote, a.held
 	a.readFailed = true
-	crossed := a.uses > 0 && a.began && !a.ended && time.Since(a.sentAt) < a.pool.early
+	early := (a.began || held) && !a.ended && time.Since(a.sentAt) < a.pool.early
 	a.mu.Unlock()
-	if crossed {
-		a.pool.crossed(a.idle)
+	if early {
+		a.pool.broke(a.idle, a.uses)
 	}
-	if wrote {
+	switch {
+	case wrote:
 		a.done(chalkrack.Reset)
+	case held:
+		a.done(chalkrack.ConnectFailed)
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,8 +32,10 @@
 	learned  time.Time     // when idleMost last changed
 	lasted   time.Duration // the longest idling that a connection came through lately
 	lastedAt time.Time
-	early    time.Duration // earlyBreak; tests have more patience, as with stall
+	brokeAt  time.Time     // when a connection last broke under a request just sent
+	early    time.Duration // earlyBreak; tests have more patience, as with stall and hold
 	stall    time.Duration
+	hold     time.Duration // commitAfter
 }
 
 const (
@@ -42,6 +44,8 @@
 	earlyBreak = 20 * time.Millisecond
 	// idleLeast is what idleMost never falls below: connections in steady use are kept.
 	idleLeast = 50 * time.Millisecond
+	// After a connection broke under a request just sent, others are mistrusted for so long.
+	brittleFor = 5 * time.Second
 	// After so long without an early break idleMost doubles.
 	idleRelearn = 30 * time.Second
 )
@@ -69,7 +73,7 @@
 
 // New returns an empty Pool.
 func New(cfg Config) *Pool {
-	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost}
+	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost, hold: commitAfter}
 	p.idleMost = p.idleCap()
 	return p
 }
@@ -78,6 +82,23 @@
 // which servers say that they close it.
 func (p *Pool) idleCap() time.Duration { return p.cfg.ConnIdle * 6 / 10 }
 
+// broke takes a connection that broke as soon as a request was written.
+func (p *Pool) broke(idle time.Duration, uses int) {
+	p.mu.Lock()
+	p.brokeAt = time.Now()
+	p.mu.Unlock()
+	if uses > 0 {
+		p.crossed(idle)
+	}
+}
+
+// brittle says that connections have broken of late.
+func (p *Pool) brittle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.brokeAt.IsZero() && time.Since(p.brokeAt) < brittleFor
+}
+
 // crossed learns from a connection that broke as soon as it was used after idling.
 // Guards against learning from a server that dies or breaks off: what idled for a
 // moment, or for less than others that are well, did not break of that.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -420,6 +420,94 @@
 	}
 }
 
+// Where connections break under requests, one that must not run twice is committed
+// with its last byte only once its connection has stood for a moment: a break before
+// proves that nothing ran. Elsewhere, and for others, nothing is held back.
+func TestHeldBack(t *testing.T) {
+	breaks := func(c net.Conn, br *bufio.Reader) {
+		br.ReadByte()
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	for _, c := range []struct {
+		name          string
+		script        func(net.Conn, *bufio.Reader)
+		brittle, once bool
+		want          chalkrack.Outcome
+	}{
+		{"breaks", breaks, true, true, chalkrack.ConnectFailed},
+		{"breaks under one that may repeat", breaks, true, false, chalkrack.Reset},
+		{"breaks for the first time", breaks, false, true, chalkrack.Reset},
+		{"stands", each(hi), true, true, chalkrack.OK},
+		{"declines", each("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"), true, true, chalkrack.Full},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, _ := fake(t, c.script)
+			p := newPool(9)
+			p.early = patience
+			if c.want == chalkrack.ConnectFailed {
+				p.hold = patience // the word of the break may come late
+			}
+			p.Serve("s", addr, 0)
+			for range 5 {
+				if p.mu.Lock(); c.brittle {
+					p.brokeAt = time.Now()
+				} else {
+					p.brokeAt = time.Time{}
+				}
+				p.mu.Unlock()
+				s := newSink()
+				a := get(s)
+				a.Once = c.once
+				a.Request = &Request{Method: "POST", Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"), Body: [][]byte{[]byte("hello")}}
+				p.Start(a)
+				if r := s.wait(t); r.o != c.want {
+					t.Errorf("outcome %d, want %d", r.o, c.want)
+				}
+			}
+			if c.want == chalkrack.Reset && !p.brittle() {
+				t.Error("a break under a request is not remembered")
+			}
+			settle(t, "connections are counted for ever", func() bool { return p.Conns() == p.idle("s") })
+		})
+	}
+}
+
+// An attempt given up while its last byte is held back never began.
+func TestAbandonWhileHeldBack(t *testing.T) {
+	heard := make(chan error, 1)
+	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) { heard <- readRequest(br) })
+	p := newPool(9)
+	p.brokeAt = time.Now().Add(time.Hour) // still to come, as far as it matters
+	p.Serve("s", addr, 0)
+	s := newSink()
+	a := get(s)
+	a.Once, a.pool = true, p
+	_, to, err := p.take(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := a.connect(to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.mu.Lock()
+	a.conn = c
+	a.holdBack(c, []byte("GET /x HTTP/1.1\r\nHost: h\r\n\r\n"))
+	a.ended = true
+	a.mu.Unlock()
+	if a.Abandon() {
+		t.Error("it says that it began")
+	}
+	a.Close()
+	if err := <-heard; err == nil {
+		t.Error("the server heard a whole request")
+	}
+	if r := s.wait(t); r.o != chalkrack.ConnectFailed || p.Conns() != 0 {
+		t.Errorf("outcome %d, %d connections", r.o, p.Conns())
+	}
+}
+
 // An idle connection must not take a request to an address that a server has left.
 func TestAddressChanges(t *testing.T) {
 	old, _ := fake(t, each(hi))
