--- a/balancer.go
+++ b/balancer.go
@@ -493,8 +493,11 @@
 	case ServerError, ConnectFailed, Reset, TimedOut:
 		b.fleet.failed(s, now)
 	}
-	if o == OK || o == ServerError || o == TimedOut {
+	switch o {
+	case OK, TimedOut:
 		b.fleet.report(s, o, rep, took, a.held, now)
+	case ServerError: // how soon it came says nothing of speed: one that fails fast would draw more
+		s.heed(rep, now)
 	}
 	if b.cfg.ConnectionCost > 0 && !s.inSet && s.inFlight == 0 {
 		b.host.CloseIdle(s.name) // a guest's connection would stand open unused
--- a/pick_test.go
+++ b/pick_test.go
@@ -244,6 +244,25 @@
 	}
 }
 
+// A server that fails at once is not taken for a fast one.
+func TestFailingFastIsNotFast(t *testing.T) {
+	b, r := newTest(t, testConfig(), fleetOf(setMin)...)
+	b.noCopies()
+	for id := RequestID(1); id <= 200; id++ {
+		now := time.Duration(id) * 100 * ms
+		b.Arrive(now, Request{ID: id, Class: 2, Tenant: -1, Deadline: now + time.Second})
+		o, took := OK, 50*ms
+		if r.servers[len(r.servers)-1] == "s000" {
+			o, took = ServerError, ms
+		}
+		b.Done(now+took, id, 0, o, o == OK, Report{})
+	}
+	bad, good := b.fleet.byName["s000"], b.fleet.byName["s001"]
+	if bad.learned > good.learned || bad.latency(20*time.Second) < good.latency(20*time.Second) {
+		t.Errorf("failing: weight %v, latency %v; serving: %v, %v", bad.learned, bad.latency(20*time.Second), good.learned, good.latency(20*time.Second))
+	}
+}
+
 // The least worth is shed first, and all of it before the next class.
 func TestShedsLeastWorthFirst(t *testing.T) {
 	cfg := testConfig()
