Bar a server for the one class that it fails

Ruled out the share of ejections (none was in force) and the restart that clears them. At fault: pick.go failed counts by server only; per class nothing was kept. An error now counts by class too, with the same two in a row, backoff and share.

--- a/balancer.go
+++ b/balancer.go
@@ -396,14 +396,18 @@
 	if !b.mayTry(q, anchor, now) {
 		return false
 	}
-	s := b.fleet.pick(now, q.key, func(s *server) bool {
+	may := func(s *server) bool {
 		for i := range q.attempts {
 			if q.attempts[i].to == s {
 				return false
 			}
 		}
 		return anchor == nil || q.class.Effect != Keyed || sameGroup(q.class.Scope, anchor.to, s)
-	})
+	}
+	s := b.fleet.pick(now, q.key, func(s *server) bool { return !s.barredFor(q.Class, now) && may(s) })
+	if s == nil {
+		s = b.fleet.pick(now, q.key, may)
+	}
 	if s == nil {
 		return false
 	}
@@ -490,6 +494,9 @@
 	switch o {
 	case OK:
 		s.failures, s.ejections = 0, 0
+		if s.barred != nil {
+			s.barred[q.Class] = bar{}
+		}
 	case ServerError, ConnectFailed, Reset, TimedOut:
 		b.fleet.failed(s, now)
 	}
@@ -498,6 +505,7 @@
 		b.fleet.report(s, o, rep, took, a.held, now)
 	case ServerError: // how soon it came says nothing of speed: one that fails fast would draw more
 		s.heed(rep, now)
+		b.fleet.classFailed(s, q.Class, now)
 	}
 	if b.cfg.ConnectionCost > 0 && !s.inSet && s.inFlight == 0 {
 		b.host.CloseIdle(s.name) // a guest's connection would stand open unused
--- a/pick.go
+++ b/pick.go
@@ -64,6 +64,14 @@
 	learnedAt           time.Duration
 	priority            float64 // order among members, lowest first
 	cold                bucket  // sends that it may get while cold
+	barred              []bar   // by class, once one has failed
+}
+
+// bar keeps a class from a server that fails it. Guards against one that fails a
+// single class: what it serves of the others would clear it each time.
+type bar struct {
+	failures, spells int // in a row; for the backoff
+	until            time.Duration
 }
 
 // fleet is the membership, the working set and the sampling table over it.
@@ -123,7 +131,7 @@
 		// A restarted process has none of its old faults and none of its speed.
 		s.failures, s.ejections, s.ejectedUntil = 0, 0, 0
 		// What its bucket saved up while it was warm would come as one burst.
-		s.latSum, s.latN, s.learned, s.cold = 0, 0, 1, bucket{1, now}
+		s.latSum, s.latN, s.learned, s.cold, s.barred = 0, 0, 1, bucket{1, now}, nil
 	}
 	s.started, s.warmAt = e.Started, 0
 	if e.Started > 0 {
@@ -350,6 +358,31 @@
 	f.dirty = true
 }
 
+// classFailed counts an error of a class against a server, and bars it for that class
+// when they add up, as failed ejects it from all.
+func (f *fleet) classFailed(s *server, class int, now time.Duration) {
+	if s.barred == nil {
+		s.barred = make([]bar, len(f.cfg.Classes))
+	}
+	b, share := &s.barred[class], 1.0
+	for _, m := range f.members {
+		if m.barredFor(class, now) {
+			share++
+		}
+	}
+	if b.failures++; b.failures < ejectAfter || now < b.until || share > ejectShare*float64(len(f.members)) {
+		return
+	}
+	span := min(ejectBase<<min(b.spells, 10), ejectMax)
+	b.spells++
+	b.failures = ejectAfter - 1
+	b.until = now + span/2 + time.Duration(f.rand()*float64(span))
+}
+
+func (s *server) barredFor(class int, now time.Duration) bool {
+	return s.barred != nil && now < s.barred[class].until
+}
+
 // coldRoom says whether a cold server can take one more send from here, guided by
 // what a warm one takes: all balancers do the same, so the sum stays under the
 // fleet's limit. Guests, which all may fall back on, get none.
--- a/pick_test.go
+++ b/pick_test.go
@@ -263,6 +263,62 @@
 	}
 }
 
+// A server that fails one class and serves the others is left out for that class
+// only, is tried again in time; where all fail a class, most go on getting it.
+func TestBarredForOneClass(t *testing.T) {
+	b, r := newTest(t, testConfig(), fleetOf(setMin)...)
+	var sick = map[string]bool{"s000": true}
+	failed, other := 0, 0
+	serve := func(id RequestID) {
+		b.noCopies()
+		now := time.Duration(id) * 20 * ms
+		b.Arrive(now, Request{ID: id, Class: int(id%2) * 2, Tenant: -1, Deadline: now + time.Second})
+		to, o := r.servers[len(r.servers)-1], OK
+		switch {
+		case sick[to] && id%2 == 1:
+			failed++
+			o = ServerError
+		case sick[to]:
+			other++
+		}
+		b.Done(now, id, 0, o, o == OK, Report{})
+	}
+	for id := RequestID(1); id <= 1000; id++ { // 20 s
+		serve(id)
+	}
+	if failed < 3 || failed > 15 || other < 60 {
+		t.Errorf("a sick server failed %d of 500 requests and served %d of the other class", failed, other)
+	}
+	sick = nil
+	before := len(r.servers)
+	for id := RequestID(1001); id <= 3000; id++ {
+		serve(id)
+	}
+	if s := b.fleet.byName["s000"]; s.barred[2] != (bar{}) {
+		t.Errorf("well for 40 s and still %+v after %d sends", s.barred[2], len(r.servers)-before)
+	}
+	now := time.Hour
+	for _, s := range b.fleet.members {
+		for range 2 * ejectAfter {
+			b.fleet.classFailed(s, 2, now)
+		}
+	}
+	barred := 0
+	for _, s := range b.fleet.members {
+		if s.barredFor(2, now) {
+			barred++
+		}
+	}
+	if barred != 1 {
+		t.Errorf("%d of %d barred, want one", barred, setMin)
+	}
+	r.got = nil
+	b.Arrive(now, Request{ID: 9999, Class: 2, Tenant: -1, Deadline: now + time.Second})
+	if len(r.got) != 1 || r.got[0] != "send 9999" {
+		t.Errorf("all fail: %v, want a send", r.got)
+	}
+}
+
 // The least worth is shed first, and all of it before the next class.
 func TestShedsLeastWorthFirst(t *testing.T) {
 	cfg := testConfig()
