Begin a long answer only once enough of it has come

Checked: probes at each end of a client connection: no deadline, eviction or drain was at work, only long answers cut. On loopback a head with a long length and nothing or little behind it ends the client's connection after 0.4 s: it had become the request's only answer when its head came. At fault: attempt.go receive, which began an answer of a long length unread; those that tell none were read up to WholeMost first.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -179,6 +179,7 @@
 		}
 	}
 	long := strings.Repeat("x", 200<<10)
+	longHead := strings.TrimRight(ok(long), "x")
 	for _, c := range []struct {
 		name    string
 		class   string
@@ -196,6 +197,8 @@
 		{"unsafe, broken off", "u", always("close"), always("close"), 502, "", 1, 1},
 		{"unsafe, an error", "u", always("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), always("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), 502, "", 1, 1},
 		{"safe, broken off", "a", always("close"), always("close"), 503, "", 2, 2},
+		{"long and nothing of it", "a", always(longHead), always(longHead), 503, "", 2, 2},
+		{"long and soon broken", "u", always(ok(long)[:50<<10]), always(ok(long)[:50<<10]), 502, "", 1, 1},
 		{"long and short of its length", "a", always(ok(long)[:150<<10] + "HTTP"), always(ok(long)[:150<<10]), 0, "", 1, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -419,12 +419,12 @@
 	}
 	rep := ParseLoad(resp.Header.Get("Srv-Load"))
 	ans := &Answer{Header: resp.Header, Length: resp.ContentLength}
-	long := resp.StatusCode == http.StatusOK && ans.Length > WholeMost
-	if !long {
-		if ans.Body, long, err = readMost(resp.Body, ans.Length); err != nil {
-			a.done(chalkrack.Reset)
-			return false
-		}
+	// Of a long one too so much comes first: guards against taking the client's only
+	// answer for a head that nothing follows.
+	var long bool
+	if ans.Body, long, err = readMost(resp.Body, ans.Length); err != nil {
+		a.done(chalkrack.Reset)
+		return false
 	}
 	if long && resp.StatusCode == http.StatusOK {
 		return a.stream(c, resp, ans, rep)
@@ -492,11 +492,13 @@
 		n, err := body.Read(b[len(b):cap(b)])
 		b = b[:len(b)+n]
 		switch {
+		case err != nil && err != io.EOF:
+			return nil, false, err
+		case len(b) > WholeMost: // its end, if that has come, comes once more
+			return b, true, nil
 		case err == io.EOF:
 			return b, false, nil
-		case err != nil:
-			return nil, false, err
-		case len(b) > WholeMost, n > 0 && time.Since(began) > trickle:
+		case n > 0 && time.Since(began) > trickle && length < 0:
 			return b, true, nil
 		}
 	}
