Give '100 Continue' a write deadline of its own

Checked: on a connection that goes on more than 10 s after an answer, the old deadline is over, so the client would never be told to go on.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -347,6 +347,7 @@
 		return nil, http.StatusRequestEntityTooLarge
 	}
 	if r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue") {
+		c.nc.SetWriteDeadline(time.Now().Add(writeMost)) // the last answer's may be over
 		c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	body, kept, status := c.readBody(r)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -365,7 +365,7 @@
 	nc, other := net.Pipe()
 	defer other.Close()
 	go io.Copy(io.Discard, other)
-	s := New(Config{}, &fake{})
+	s := New(Config{MostBody: 1 << 20}, &fake{})
 	d := &deadlined{Conn: nc}
 	c := &conn{srv: s, nc: d}
 	c.served.L = &s.mu
@@ -373,8 +373,25 @@
 	if d.forever {
 		t.Error("an answer is written without a deadline")
 	}
+	// What tells a client to go on has a deadline of its own, not that of the answer
+	// before, which may be over.
+	d.until = time.Time{}
+	c.in, c.began = capped{Conn: &said{Reader: strings.NewReader(request("POST /a", ids+field("Content-Length", "2")+field("Expect", "100-continue")) + "hi")}, left: headMost}, time.Now()
+	c.br = bufio.NewReader(&c.in)
+	s.handler = &fake{}
+	if x, _ := c.read(false); x == nil || d.until.IsZero() {
+		t.Error("a client is told to go on without a deadline")
+	}
 }
 
+// said is a connection that only brings what was said.
+type said struct {
+	net.Conn
+	io.Reader
+}
+
+func (s *said) Read(p []byte) (int, error) { return s.Reader.Read(p) }
+
 // The id of a request that waits for its answer is its own: another with it is
 // turned away and the first is not disturbed. Once that is over, or its client has
 // left, the id is free.
