Give up an answer that has stopped in time for another attempt

Ruled out answers that never begin, which are given up at their deadline. At fault: attempt.go stallMost. Half of the shortest aim is the limit now, 60 ms at the least and 400 ms at the most; one being passed on keeps 400 ms.

--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -68,6 +68,8 @@
 		DialTimeout: c.settings.DialTimeout,
 		DrainGrace:  c.settings.DrainGrace,
 		MostConns:   conns / 3,
+		// Half of the shortest aim is left for another attempt.
+		Stall: c.settings.ShortestAim() / 2,
 	})
 	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
 	if c.asks {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,6 +169,17 @@
 	}
 }
 
+// ShortestAim is the shortest time within which a class of requests wants its answer.
+func (s *Settings) ShortestAim() time.Duration {
+	var d time.Duration
+	for n, c := range s.Config.Classes {
+		if n == 0 || c.Aim < d {
+			d = c.Aim
+		}
+	}
+	return d
+}
+
 // Class is the place of a class, -1 if there is none of that name.
 func (s *Settings) Class(name []byte) int { return index(s.classes, name) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -13,7 +13,7 @@
 		"tenants":[{"name":"p","allowancePerS":7.5,"share":1}],
 		"caps":{"connIdleUs":30000000,"dialTimeoutUs":250000,"mostHeld":9,"maxRetryAfterUs":7,"retryAfter":true},
 		"guarantees":{"drainGraceUs":2000000,"askWithinUs":5},
-		"classes":[{"name":"a","promiseUs":5,"hardLimitUs":6,"effect":"by_key","dedupScope":"cell"},{"name":"b","promiseUs":5,"effect":"once"}]}`))
+		"classes":[{"name":"a","promiseUs":5,"hardLimitUs":6,"effect":"by_key","dedupScope":"cell"},{"name":"b","promiseUs":4,"effect":"once"}]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -28,6 +28,9 @@
 		s.MostHeld != 9 || s.Deadlines[0] != 6*time.Microsecond {
 		t.Errorf("settings: %+v", s)
 	}
+	if d := s.ShortestAim(); d != 4*time.Microsecond {
+		t.Errorf("shortest aim %v", d)
+	}
 	if s.Class([]byte("b")) != 1 || s.Class([]byte("c")) != -1 || s.Tenant([]byte("p")) != 0 || s.Tenant(nil) != -1 {
 		t.Error("places of names")
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -370,7 +370,13 @@
 	errLongAnswer = errors.New("upstream: answer too long")
 )
 
-const stallMost = 400 * time.Millisecond
+// An answer that has begun and pauses for longer has stopped. One that is not yet
+// passed on gets less where the configuration says so, but stallLeast at least: so
+// long a sidecar with a part of a core may itself have to wait.
+const (
+	stallMost  = 400 * time.Millisecond
+	stallLeast = 60 * time.Millisecond
+)
 
 type capped struct {
 	net.Conn
@@ -515,6 +521,7 @@
 		a.done(chalkrack.Cancelled) // the client has left
 		return false
 	}
+	c.in.pausing = a.pool.lull // no other attempt can be made any more
 	buf := streamBuffers.Get().(*[]byte)
 	defer streamBuffers.Put(buf)
 	for {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,7 +18,8 @@
 	ConnIdle    time.Duration
 	DialTimeout time.Duration
 	DrainGrace  time.Duration
-	MostConns   int // connections at once, those being dialled included
+	MostConns   int           // connections at once, those being dialled included
+	Stall       time.Duration // what an answer may pause before it is passed on; 0: stallMost
 }
 
 // Pool keeps the connections to all servers.
@@ -35,6 +36,7 @@
 	brokeAt  time.Time     // when a connection last broke under a request just sent
 	early    time.Duration // earlyBreak; tests have more patience, as with stall and hold
 	stall    time.Duration
+	lull     time.Duration // stallMost, for an answer that is being passed on
 	hold     time.Duration // commitAfter
 }
 
@@ -73,8 +75,11 @@
 
 // New returns an empty Pool.
 func New(cfg Config) *Pool {
-	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost, hold: commitAfter}
+	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost, lull: stallMost, hold: commitAfter}
 	p.idleMost = p.idleCap()
+	if cfg.Stall > 0 {
+		p.stall = max(stallLeast, min(cfg.Stall, stallMost))
+	}
 	return p
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -177,6 +177,32 @@
 	}
 }
 
+// An answer that stops is given up in time for another attempt, as the configuration
+// says; one that is being passed on may pause for longer.
+func TestStallByConfig(t *testing.T) {
+	for _, c := range []struct{ stall, want time.Duration }{{0, stallMost}, {time.Hour, stallMost}, {100 * time.Millisecond, 100 * time.Millisecond}, {1, stallLeast}} {
+		if got := New(Config{Stall: c.stall}).stall; got != c.want {
+			t.Errorf("with %v: %v, want %v", c.stall, got, c.want)
+		}
+	}
+	long := strings.Repeat("x", WholeMost+1)
+	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
+		readRequest(br)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long)+2, long)
+		time.Sleep(stallMost * 3)
+		io.WriteString(c, "yz")
+		br.ReadByte()
+	})
+	p := New(Config{ConnIdle: time.Minute, DialTimeout: 5 * time.Second, DrainGrace: time.Minute, MostConns: 9, Stall: stallMost})
+	p.lull = patience
+	p.Serve("s", addr, 0)
+	s := newSink()
+	p.Start(get(s))
+	if r := s.wait(t); r.o != chalkrack.OK || s.streamed.String() != long+"yz" {
+		t.Errorf("outcome %d, %d streamed", r.o, s.streamed.Len())
+	}
+}
+
 // An answer that tells no length and never ends is broken off.
 func TestEndlessAnswer(t *testing.T) {
 	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
@@ -216,7 +242,7 @@
 		})
 		p := newPool(9)
 		if !stops {
-			p.stall = patience
+			p.stall, p.lull = patience, patience
 		}
 		p.Serve("s", addr, 0)
 		s := newSink()
