--- a/balancer.go
+++ b/balancer.go
@@ -147,6 +147,9 @@
 	Tenant   int // index into Config.Tenants, -1: none
 	Key      string
 	Deadline time.Duration
+	// Attempts lowers Config.MaxAttempts; 0: it does not. With 1 a tier before this
+	// one decides: the request earns no budget here and spends none.
+	Attempts int
 }
 
 // Outcome is how an attempt ended.
@@ -285,6 +288,9 @@
 		return
 	}
 	q := &request{Request: r, class: &b.cfg.Classes[r.Class], arrived: now}
+	if r.Attempts < 1 || r.Attempts > b.cfg.MaxAttempts {
+		q.Attempts = b.cfg.MaxAttempts
+	}
 	if b.cfg.WarmKeys {
 		q.key = hashName(r.Key)
 	}
@@ -313,8 +319,10 @@
 		b.end(q)
 		return
 	}
-	b.reissue.tokens = min(b.reissue.tokens+b.reissue.budget, hedgeTokensMax)
-	b.retries = min(b.retries+retryBudget, retriesMax)
+	if q.Attempts > 1 {
+		b.reissue.tokens = min(b.reissue.tokens+b.reissue.budget, hedgeTokensMax)
+		b.retries = min(b.retries+retryBudget, retriesMax)
+	}
 	b.planCopy(q, now)
 }
 
@@ -327,7 +335,7 @@
 // planCopy draws whether q gets a copy and sets its timer, else the one for its aim.
 func (b *Balancer) planCopy(q *request, now time.Duration) {
 	after := q.arrived + q.class.Aim - now
-	if q.class.Effect != Unsafe {
+	if q.class.Effect != Unsafe && q.Attempts > 1 {
 		b.reissue.recompute(now, b.rng.Float64())
 		d := time.Duration(b.reissue.d * float64(q.class.Aim))
 		if q.copyDue = b.rng.Float64() < b.reissue.q && d < after; q.copyDue {
@@ -380,7 +388,7 @@
 // run goes on inside its anchor's group and window only.
 func (b *Balancer) mayTry(q *request, anchor *attempt, now time.Duration) bool {
 	switch {
-	case q.ended || q.streamed || len(q.attempts) >= b.cfg.MaxAttempts || now >= q.Deadline:
+	case q.ended || q.streamed || len(q.attempts) >= q.Attempts || now >= q.Deadline:
 		return false
 	case q.out > 0 && !b.cfg.SecondCopies:
 		return false
@@ -444,6 +452,9 @@
 	b.cancelOthers(q, n)
 }
 
+// EmptyBudgets takes the budgets of retries and copies away, to be earned anew.
+func (b *Balancer) EmptyBudgets() { b.retries, b.reissue.tokens = 0, 0 }
+
 // Done takes an attempt's outcome; over says that the request has ended.
 func (b *Balancer) Done(now time.Duration, id RequestID, n int, o Outcome, over bool, rep Report) {
 	q := b.requests[id]
@@ -470,7 +481,7 @@
 	case q.out > 0: // another attempt may still answer
 	case q.class.LateWorth == 0 && now >= q.arrived+q.class.Aim: // nothing to win any more
 		b.end(q)
-	case !b.mayRetry(q) || !b.try(q, now, false):
+	case q.Attempts == 1 || !b.mayRetry(q) || !b.try(q, now, false):
 		b.end(q)
 	}
 }
--- /dev/null
+++ b/internal/core/host.go
@@ -0,0 +1,495 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/membership"
+	"chalkrack/internal/settings"
+)
+
+const (
+	deadlineMargin = 5 * time.Millisecond
+	// longestWait bounds what a client may ask to wait.
+	longestWait = 10 * time.Minute
+	// probeMost is how long a probe may take.
+	probeMost = 500 * time.Millisecond
+)
+
+// Host is the chalkrack.Host of one Balancer. One lock guards the Balancer and all
+// that belongs to it. The Balancer's wishes are written down under the lock and
+// carried out after it is freed, by whoever brought the event.
+type Host struct {
+	set       *settings.Settings
+	transport Transport
+	directory Directory
+	log       func() *slog.Logger
+
+	start time.Time
+	unix  time.Duration // at start
+
+	mu      sync.Mutex
+	b       *chalkrack.Balancer
+	held    map[chalkrack.RequestID]*call
+	last    chalkrack.RequestID
+	marks   marks
+	alarms  alarms
+	alarm   *time.Timer
+	alarmAt time.Duration
+	actions *[]action // nil: none
+	quitAt  time.Duration
+	ready   bool
+	closed  bool
+}
+
+// Config is what a Host is told.
+type Config struct {
+	Settings  *settings.Settings
+	Seed      uint64
+	Transport Transport
+	Directory Directory    // nil where the list comes unasked
+	Log       *slog.Logger // nil: the default one
+}
+
+var noLimits Limits
+
+// call is one that is owed an answer or attempts' ends.
+type call struct {
+	id       chalkrack.RequestID
+	c        *Call
+	deadline time.Duration
+	class    *chalkrack.Class // nil: unknown
+	attempts []*attempt
+	out      int
+	over     bool
+}
+
+// repeatBefore is when it is too late to repeat a keyed request: a window after the
+// first send that may have run; 0 if none has, or for other requests.
+func (q *call) repeatBefore() time.Duration {
+	if q.class == nil || q.class.Effect != chalkrack.Keyed {
+		return 0
+	}
+	for _, a := range q.attempts {
+		if !a.neverRan {
+			return a.sent + q.class.Window
+		}
+	}
+	return 0
+}
+
+type attempt struct {
+	send Attempt // the transport's
+	host *Host
+	q    *call
+	n    int
+	to   string
+	sent time.Duration
+	done bool
+
+	neverRan bool
+	stream   Stream
+}
+
+// outcomes are the words of the log.
+var outcomes = [...]string{"ok", "server error", "full", "timed out", "connect failed", "reset", "cancelled", "not sent"}
+
+// New returns a Host of a new Balancer. Its Listed and DiscoveryFailed take what the
+// directory says.
+func New(cfg Config) (*Host, error) {
+	start := time.Now()
+	h := &Host{
+		set:       cfg.Settings,
+		transport: cfg.Transport,
+		directory: cfg.Directory,
+		log:       slog.Default, // each time anew: a program may set it late
+		start:     start,
+		unix:      time.Duration(start.UnixNano()),
+		held:      make(map[chalkrack.RequestID]*call),
+	}
+	if cfg.Log != nil {
+		h.log = func() *slog.Logger { return cfg.Log }
+	}
+	h.alarm = time.AfterFunc(time.Hour, h.ring)
+	var err error
+	h.locked(func(time.Duration) { h.b, err = chalkrack.New(cfg.Settings.Config, cfg.Seed, h) })
+	if err != nil {
+		h.alarm.Stop()
+	}
+	return h, err
+}
+
+func (h *Host) now() time.Duration { return h.unix + time.Since(h.start) }
+
+// locked brings an event to the Balancer and then does what it asked for.
+func (h *Host) locked(event func(now time.Duration)) {
+	acts := h.decide(event)
+	if acts == nil {
+		return
+	}
+	for n := range *acts {
+		(*acts)[n].do(h)
+	}
+	clear(*acts)
+	*acts = (*acts)[:0]
+	actionLists.Put(acts)
+}
+
+// decide frees the lock also if the Balancer panics: others' calls go on.
+func (h *Host) decide(event func(now time.Duration)) *[]action {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	event(h.now())
+	h.wind()
+	acts := h.actions
+	h.actions = nil
+	return acts
+}
+
+// Arrive takes a call, which it ends once.
+func (h *Host) Arrive(c *Call) {
+	h.locked(func(now time.Duration) {
+		if h.closed || h.set.MostHeld > 0 && len(h.held) >= h.set.MostHeld {
+			h.log().Warn("call refused", "held", len(h.held), "closed", h.closed)
+			h.act(action{kind: actRefuse, caller: c.Caller, after: h.set.Config.MaxRetryAfter / 10, unsent: true})
+			h.act(action{kind: actRelease, caller: c.Caller})
+			return
+		}
+		limits := c.Limits
+		if limits == nil {
+			limits = &noLimits
+		}
+		if limits.Attempts == 1 && limits.Mark != "" && h.marks.again(c.ID, limits.Mark, now) {
+			h.log().Warn("marked call came twice: not attempted again", "class", c.Class)
+			h.act(action{kind: actFail, caller: c.Caller})
+			h.act(action{kind: actRelease, caller: c.Caller})
+			return
+		}
+		class := h.set.Class([]byte(c.Class))
+		wait := c.Wait
+		if wait == 0 {
+			wait = h.longest(class)
+		}
+		deadline := now - time.Since(c.Received) + min(wait, longestWait) - min(deadlineMargin, wait/10)
+		if h.quitAt > 0 {
+			deadline = min(deadline, h.quitAt)
+		}
+		h.last++
+		q := &call{id: h.last, c: c, deadline: deadline}
+		if class >= 0 {
+			q.class = &h.set.Config.Classes[class]
+		}
+		c.state = q
+		h.held[q.id] = q
+		h.after(alarm{at: deadline, q: q})
+		h.b.Arrive(now, chalkrack.Request{
+			ID:       q.id,
+			Class:    class,
+			Tenant:   h.set.Tenant([]byte(c.Tenant)),
+			Key:      c.Key,
+			Deadline: deadline,
+			Attempts: limits.Attempts,
+		})
+	})
+}
+
+// longest is a class's own deadline, that of the longest for one unknown.
+func (h *Host) longest(class int) (d time.Duration) {
+	for n, own := range h.set.Deadlines {
+		if n == class {
+			return own
+		}
+		d = max(d, own)
+	}
+	return max(d, time.Second)
+}
+
+// Gone says that a call's caller has left. False says that its answer is under way
+// or given, so that the caller hears of it all the same. It holds also where the
+// Balancer panics: the caller's side comes here to end a call that a panic has left
+// open.
+func (h *Host) Gone(c *Call) (taken bool) {
+	defer h.recovered("a caller that left")
+	h.locked(func(now time.Duration) {
+		q := c.state
+		if q == nil || q.over { // of a long answer the writes will notice
+			return
+		}
+		q.over, taken = true, true
+		h.log().Info("client left", "id", q.id, "class", c.Class, "after", time.Since(c.Received), "attempts", len(q.attempts), "wait", c.Wait)
+		defer h.forget(q)
+		h.b.ClientGone(now, q.id)
+	})
+	return taken
+}
+
+// Ready says whether calls may come.
+func (h *Host) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready
+}
+
+// SetReady says whether calls may come.
+func (h *Host) SetReady(ready bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = ready
+}
+
+// Known says whether there is a class of that name.
+func (h *Host) Known(class string) bool { return h.set.Class([]byte(class)) >= 0 }
+
+// EmptyBudgets takes the budgets of retries and copies away. They are earned anew by
+// the calls that come.
+func (h *Host) EmptyBudgets() { h.locked(func(time.Duration) { h.b.EmptyBudgets() }) }
+
+// QuitAt sees to it that all is answered by then, and clients are told to wait no longer.
+func (h *Host) QuitAt(in time.Duration) {
+	h.locked(func(now time.Duration) {
+		h.quitAt = now + in
+		for _, q := range h.held {
+			if q.deadline > h.quitAt {
+				h.after(alarm{at: h.quitAt, q: q})
+			}
+		}
+	})
+}
+
+// Close ends all that is still held, and the timer. Calls that arrive later are
+// refused.
+func (h *Host) Close() {
+	h.locked(func(now time.Duration) {
+		h.closed = true
+		for _, q := range h.held {
+			h.expire(now, q)
+		}
+	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.alarm.Stop()
+}
+
+// Held is the number of calls held.
+func (h *Host) Held() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.held)
+}
+
+// Listed takes what is said of the servers.
+func (h *Host) Listed(l *membership.List) {
+	endpoints := make([]chalkrack.Endpoint, len(l.Entries))
+	h.locked(func(now time.Duration) {
+		listed := make(map[string]bool, len(l.Entries))
+		for n, e := range l.Entries {
+			endpoints[n] = e.Endpoint
+			listed[e.Name] = true
+			if e.State == chalkrack.Serving {
+				h.transport.Serve(e.Name, e.Address, e.Started)
+			} else {
+				h.transport.Leave(e.Name, e.State == chalkrack.Gone)
+			}
+		}
+		if l.Whole {
+			h.transport.Keep(listed)
+			h.b.ServersListed(now, endpoints)
+		} else {
+			h.b.ServersChanged(now, endpoints)
+		}
+	})
+}
+
+// DiscoveryFailed takes a failed call or a watch that ended.
+func (h *Host) DiscoveryFailed(err error) {
+	h.log().Warn("discovery failed", "err", err)
+	h.locked(func(now time.Duration) { h.b.DiscoveryFailed(now) })
+}
+
+// Send implements chalkrack.Host.
+func (h *Host) Send(id chalkrack.RequestID, server string, timeout time.Duration) {
+	q := h.held[id]
+	if q == nil {
+		return
+	}
+	now := time.Now()
+	a := &attempt{host: h, q: q, n: len(q.attempts), to: server, sent: h.unix + now.Sub(h.start)}
+	o := Order{
+		Payload:  q.c.Payload,
+		Server:   server,
+		N:        a.n,
+		Deadline: now.Add(timeout),
+		Once:     q.class != nil && q.class.Effect == chalkrack.Unsafe,
+		Sink:     a,
+	}
+	if l := q.c.Limits; l != nil {
+		o.NotAfter = l.NotAfter
+	}
+	if end := q.repeatBefore(); end > 0 {
+		if at := now.Add(end - a.sent); o.NotAfter.IsZero() || at.Before(o.NotAfter) {
+			o.NotAfter = at
+		}
+	}
+	a.send = h.transport.Attempt(o)
+	q.attempts = append(q.attempts, a)
+	q.out++
+	h.act(action{kind: actStart, a: a})
+}
+
+// Cancel implements chalkrack.Host.
+func (h *Host) Cancel(id chalkrack.RequestID, n int) {
+	if q := h.held[id]; q != nil && n < len(q.attempts) {
+		a := q.attempts[n]
+		a.send.Abandon()
+		h.act(action{kind: actCancel, a: a})
+	}
+}
+
+// Refuse implements chalkrack.Host.
+func (h *Host) Refuse(id chalkrack.RequestID, retryAfter time.Duration) {
+	if q := h.held[id]; q != nil {
+		h.end(q, action{kind: actRefuse, after: retryAfter, unsent: q.unsent()})
+	}
+}
+
+// Fail implements chalkrack.Host.
+func (h *Host) Fail(id chalkrack.RequestID) {
+	if q := h.held[id]; q != nil {
+		h.end(q, action{kind: actFail})
+	}
+}
+
+// unsent says that no attempt can have run.
+func (q *call) unsent() bool {
+	for _, a := range q.attempts {
+		if !a.neverRan {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Host) end(q *call, answer action) {
+	if q.over {
+		return
+	}
+	q.over = true
+	answer.caller = q.c.Caller
+	h.act(answer)
+	h.forget(q)
+}
+
+// SetTimer implements chalkrack.Host.
+func (h *Host) SetTimer(cookie uint64, after time.Duration) {
+	h.after(alarm{at: h.now() + max(after, 0), cookie: cookie})
+}
+
+// CloseIdle implements chalkrack.Host.
+func (h *Host) CloseIdle(server string) { h.act(action{kind: actCloseIdle, server: server}) }
+
+// Probe implements chalkrack.Host.
+func (h *Host) Probe(server string) { h.act(action{kind: actProbe, server: server}) }
+
+// Subscribe implements chalkrack.Host.
+func (h *Host) Subscribe() {
+	if h.directory != nil {
+		h.act(action{kind: actSubscribe})
+	}
+}
+
+// forget drops a call that needs nothing more. Its deadline still points to it, but
+// not to its body.
+func (h *Host) forget(q *call) {
+	if q.over && q.out == 0 && q.c != nil {
+		delete(h.held, q.id)
+		h.act(action{kind: actRelease, caller: q.c.Caller})
+		q.c, q.attempts = nil, nil
+	}
+}
+
+// Stream implements Sink. To the Balancer a long answer is served when it begins:
+// that is its time. Told at its end, the Balancer would take what a slow client needs
+// to read it for lateness of the servers, and shed load.
+func (a *attempt) Stream(answer any, rep chalkrack.Report) (w io.Writer) {
+	a.host.locked(func(now time.Duration) {
+		q := a.q
+		if q.over || a.done {
+			return
+		}
+		a.done, q.over = true, true
+		q.out--
+		a.stream = q.c.Caller.Stream(answer)
+		w = a.stream
+		defer a.host.forget(q)
+		a.host.b.Done(now, q.id, a.n, chalkrack.OK, true, rep)
+	})
+	return w
+}
+
+// Done implements Sink.
+func (a *attempt) Done(o chalkrack.Outcome, answer any, rep chalkrack.Report) {
+	if a.stream != nil {
+		if o != chalkrack.OK {
+			a.host.log().Info("long answer broken off", "server", a.to, "by", outcomes[o])
+		}
+		a.stream.End(o == chalkrack.OK)
+		return
+	}
+	a.host.locked(func(now time.Duration) { a.host.done(now, a, o, answer, rep) })
+}
+
+func (h *Host) done(now time.Duration, a *attempt, o chalkrack.Outcome, answer any, rep chalkrack.Report) {
+	if a.done {
+		return
+	}
+	q := a.q
+	a.done, a.neverRan = true, o.NeverRan()
+	q.out--
+	switch {
+	case q.over:
+	case o == chalkrack.OK && answer != nil:
+		q.over = true
+		h.act(action{kind: actServe, caller: q.c.Caller, answer: answer})
+	case o == chalkrack.OK: // nothing to show for it
+		o = chalkrack.Reset
+	}
+	if o != chalkrack.OK && o != chalkrack.Full && o != chalkrack.Cancelled {
+		h.log().Info("attempt ended: "+outcomes[o], "id", q.id, "class", q.c.Class, "attempt", a.n, "server", a.to, "after", now-a.sent, "phase", a.send.Phase())
+	}
+	over := q.over
+	h.b.Done(now, q.id, a.n, o, over, rep)
+	h.forget(q)
+}
+
+// expire ends what a call still has out at its deadline.
+func (h *Host) expire(now time.Duration, q *call) {
+	if h.held[q.id] == nil {
+		return
+	}
+	for _, a := range q.attempts {
+		if a.done {
+			continue
+		}
+		o := chalkrack.TimedOut
+		if !a.send.Abandon() {
+			o = chalkrack.ConnectFailed
+		}
+		h.act(action{kind: actCloseAttempt, a: a})
+		h.done(now, a, o, nil, chalkrack.Report{})
+	}
+	if !q.over {
+		h.log().Error("request unanswered at its deadline", "class", q.c.Class)
+		h.b.ClientGone(now, q.id)
+		h.end(q, action{kind: actFail})
+	}
+}
+
+func (h *Host) recovered(at string) {
+	if p := recover(); p != nil {
+		h.log().Error("panic", "at", at, "panic", p, "stack", string(debug.Stack()))
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/core/host_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package core_test
 
 import (
 	"bufio"
@@ -14,8 +14,9 @@
 	"time"
 
 	"chalkrack"
-	"chalkrack/internal/discovery"
+	"chalkrack/internal/core"
 	"chalkrack/internal/front"
+	"chalkrack/internal/membership"
 	"chalkrack/internal/settings"
 	"chalkrack/internal/upstream"
 )
@@ -96,16 +97,22 @@
 }
 
 // start runs a host on sockets before the given servers.
-func start(tb testing.TB, set *settings.Settings, servers ...*server) (*Host, *front.Server, string) {
+func start(tb testing.TB, set *settings.Settings, servers ...*server) (*core.Host, *front.Server, string) {
+	tb.Helper()
+	return startOn(tb, set, func(t core.Transport) core.Transport { return t }, servers...)
+}
+
+// startOn does so with the transport that by makes of the usual one.
+func startOn(tb testing.TB, set *settings.Settings, by func(core.Transport) core.Transport, servers ...*server) (*core.Host, *front.Server, string) {
 	tb.Helper()
 	pool := upstream.New(upstream.Config{ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MostConns: 100})
-	h, err := New(set, 1, pool, &discovery.Watcher{})
+	h, err := core.New(core.Config{Settings: set, Seed: 1, Transport: by(pool)})
 	if err != nil {
 		tb.Fatal(err)
 	}
-	l := &discovery.List{Whole: true}
+	l := &membership.List{Whole: true}
 	for n, s := range servers {
-		l.Entries = append(l.Entries, discovery.Entry{Endpoint: chalkrack.Endpoint{Name: fmt.Sprint("s", n), Zone: "z", Hint: 1}, Address: s.addr})
+		l.Entries = append(l.Entries, membership.Entry{Endpoint: chalkrack.Endpoint{Name: fmt.Sprint("s", n), Zone: "z", Hint: 1}, Address: s.addr})
 	}
 	h.Listed(l)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -256,6 +263,17 @@
 	}
 }
 
+// recorder is a transport that shows what it is told.
+type recorder struct {
+	core.Transport
+	orders chan core.Order
+}
+
+func (r *recorder) Attempt(o core.Order) core.Attempt {
+	r.orders <- o
+	return r.Transport.Attempt(o)
+}
+
 // A repeat of a keyed request that may have run begins within its window or not at all,
 // however long its connection takes to come up. One that never ran has no such end.
 func TestRepeatWindow(t *testing.T) {
@@ -267,21 +285,22 @@
 			}
 			return ""
 		}
-		h, _, addr := start(t, testSettings(), newServer(t, do), newServer(t, do))
+		r := &recorder{orders: make(chan core.Order, 10)}
+		began := time.Now()
+		_, _, addr := startOn(t, testSettings(), func(tr core.Transport) core.Transport {
+			r.Transport = tr
+			return r
+		}, newServer(t, do), newServer(t, do))
 		c := send(t, addr, "k", "", "")
 		defer c.Close()
-		settle(t, "not sent twice", func() bool { return turn.Load() == 2 })
-		h.mu.Lock()
-		for _, q := range h.held {
-			a, b := q.attempts[0], q.attempts[1]
-			if left := time.Until(b.NotAfter); bound && (left <= 0 || left > q.class.Window-(h.now()-a.sent)+time.Second) || bound == b.NotAfter.IsZero() {
-				t.Errorf("after %q: may begin until %v", first, b.NotAfter)
-			}
-			if !a.NotAfter.IsZero() {
-				t.Error("the first send has an end")
-			}
+		a, b := <-r.orders, <-r.orders
+		const window = 8 * time.Second
+		if at := b.NotAfter; bound && (at.Before(began.Add(window)) || at.After(time.Now().Add(window))) || bound == at.IsZero() {
+			t.Errorf("after %q: may begin until %v", first, b.NotAfter)
+		}
+		if !a.NotAfter.IsZero() {
+			t.Error("the first send has an end")
 		}
-		h.mu.Unlock()
 	}
 }
 
@@ -293,12 +312,12 @@
 		t.Errorf("answered %q", answer)
 	}
 	for _, state := range []chalkrack.State{chalkrack.Draining, chalkrack.Gone} {
-		h.Listed(&discovery.List{Entries: []discovery.Entry{{Endpoint: chalkrack.Endpoint{Name: "s0", State: state}, Address: s.addr}}})
+		h.Listed(&membership.List{Entries: []membership.Entry{{Endpoint: chalkrack.Endpoint{Name: "s0", State: state}, Address: s.addr}}})
 		if status, _ := ask(t, addr, "a", "", ""); status != 503 {
 			t.Errorf("with none left answered %d", status)
 		}
 	}
-	h.Listed(&discovery.List{Whole: true, Entries: []discovery.Entry{{Endpoint: chalkrack.Endpoint{Name: "s1", Hint: 1}, Address: next.addr}}})
+	h.Listed(&membership.List{Whole: true, Entries: []membership.Entry{{Endpoint: chalkrack.Endpoint{Name: "s1", Hint: 1}, Address: next.addr}}})
 	if _, answer := ask(t, addr, "a", "", ""); answer != "new" {
 		t.Errorf("answered %q", answer)
 	}
@@ -387,16 +406,11 @@
 // A panic of the decision code must not keep the lock, nor lose the request.
 func TestPanic(t *testing.T) {
 	h, _, addr := start(t, testSettings(), newServer(t, always(ok("hi"))))
-	h.mu.Lock()
-	b := h.b
-	h.b = nil
-	h.mu.Unlock()
+	back := h.WithoutBalancer()
 	if status, _ := ask(t, addr, "a", "", ""); status != 502 {
 		t.Errorf("answered %d", status)
 	}
-	h.mu.Lock()
-	h.b = b
-	h.mu.Unlock()
+	back()
 	if status, _ := ask(t, addr, "a", "", ""); status != 200 {
 		t.Errorf("then answered %d", status)
 	}
--- a/cmd/fawnrock/config.go
+++ b/internal/daemon/config.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"encoding/json"
@@ -9,16 +9,20 @@
 	"strconv"
 
 	"chalkrack/internal/discovery"
+	"chalkrack/internal/features"
+	"chalkrack/internal/membership"
 	"chalkrack/internal/settings"
 )
 
-// config is what a sidecar is told at its start.
-type config struct {
+// Config is what a sidecar is told at its start.
+type Config struct {
+	Features *features.File
+
 	listen, discovery string
 	seed              uint64
 	cores             float64
 	memoryMB, sockets int
-	known             *discovery.List // nil: none
+	known             *membership.List // nil: none
 	settings          *settings.Settings
 	asks              bool   // discovery must be asked
 	fixed             []byte // what holds from start to end: limits and settings, as read
@@ -54,9 +58,32 @@
 	}
 }
 
-// load reads the configuration from the environment and the file it names.
+// FeaturesFile is where the operators' own settings stand, from the folder that the
+// sidecar is started in. FAWN_FEATURES names another file; that one must exist.
+const FeaturesFile = "deploy/features.toml"
+
+// Load reads the configuration from the environment and the files it names.
 // Errors name the field.
-func load(getenv func(string) string) (*config, error) {
+func Load(getenv func(string) string) (*Config, error) {
+	c, err := load(getenv)
+	if err != nil {
+		return nil, err
+	}
+	path := getenv("FAWN_FEATURES")
+	if path == "" {
+		path = FeaturesFile
+		if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
+			c.Features = features.Default()
+			return c, nil
+		}
+	}
+	if c.Features, err = features.Read(path); err != nil {
+		return nil, err
+	}
+	return c, c.Features.CheckClasses(func(name string) bool { return c.settings.Class([]byte(name)) >= 0 })
+}
+
+func load(getenv func(string) string) (*Config, error) {
 	path := getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG is not set")
@@ -79,7 +106,7 @@
 	if err := json.Unmarshal(data, &raw); err != nil {
 		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	c := &config{
+	c := &Config{
 		listen:    raw.Listen,
 		discovery: raw.Discovery,
 		cores:     raw.Limits.Cores,
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,158 @@
+// Package daemon puts the sidecar's parts together: one process between an
+// application and the servers, which hosts one balancer.
+package daemon
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"chalkrack/internal/core"
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/front"
+	"chalkrack/internal/membership"
+	"chalkrack/internal/upstream"
+)
+
+const (
+	socketsSpare = 24
+	// A start waits for the list at most so long: what it was told may be old.
+	listMost = 250 * time.Millisecond
+	// How long a watch's answer may take to begin: from an agent at once, from
+	// a service that serves its callers in turn after its own time-out.
+	pushWait = 1500 * time.Millisecond
+	askWait  = 5 * time.Second
+	lameFor  = 700 * time.Millisecond
+	// All is answered so long after SIGTERM, beside the longest deadline. SIGKILL
+	// comes 0.7 s after that.
+	quitAfter = 300 * time.Millisecond
+	sweepEach = 2 * time.Second
+)
+
+// Tune fits the process to its limits.
+func Tune(c *Config) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
+	// Requests are short-lived garbage over a small live heap: collecting less
+	// often saves CPU, as far as the memory goes.
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(int64(c.memoryMB) << 20 * 6 / 10)
+}
+
+// Run serves until term, and then until all that was taken is answered. At each hup
+// it reads the configuration anew. ready is told the address once it serves; nil: nobody.
+func Run(c *Config, term, hup <-chan os.Signal, ready func(net.Addr)) error {
+	conns := c.sockets - socketsSpare
+	pool := upstream.New(upstream.Config{
+		ConnIdle:    c.settings.ConnIdle,
+		DialTimeout: c.settings.DialTimeout,
+		DrainGrace:  c.settings.DrainGrace,
+		MostConns:   conns / 3,
+		// Half of the shortest aim is left for another attempt.
+		Stall:            c.settings.ShortestAim() / 2,
+		PassClientErrors: c.Features.Answers.PassClientErrors,
+	})
+	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
+	if c.asks {
+		watcher.Wait = askWait
+	}
+	if c.known != nil {
+		c.known.Whole = true
+		watcher.Index = c.known.Index
+	}
+	host, err := core.New(core.Config{Settings: c.settings, Seed: c.seed, Transport: pool, Directory: watcher})
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	watcher.Listed, watcher.Failed = host.Listed, host.DiscoveryFailed
+	if c.known != nil {
+		host.Listed(c.known)
+	}
+	ln, err := net.Listen("tcp", c.listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Paths: c.Features.Paths}, host)
+	go srv.Serve(ln)
+	defer ln.Close()
+
+	if !c.asks {
+		listed := make(chan struct{}, 1)
+		watcher.Listed = func(l *membership.List) {
+			host.Listed(l)
+			select {
+			case listed <- struct{}{}:
+			default:
+			}
+		}
+		go watcher.Follow()
+		select {
+		case <-listed:
+		case <-time.After(listMost):
+		case <-term:
+			quit(c, host, srv)
+			return nil
+		}
+	}
+	host.SetReady(true)
+	slog.Info("ready", "listen", c.listen)
+	if ready != nil {
+		ready(ln.Addr())
+	}
+
+	sweep := time.NewTicker(sweepEach)
+	defer sweep.Stop()
+	for {
+		select {
+		case now := <-sweep.C:
+			pool.Sweep(now)
+			// Guards against memory that seems to grow for minutes: a quiet sidecar
+			// makes so little garbage that its heap climbs all day to the first collection.
+			runtime.GC()
+		case <-hup:
+			reload(c, watcher)
+		case <-term:
+			quit(c, host, srv)
+			return nil
+		}
+	}
+}
+
+// reload takes the address of discovery from the configuration as it is now. One
+// that is bad leaves the old in force.
+func reload(c *Config, watcher *discovery.Watcher) {
+	next, err := Load(fileFirst(os.Getenv))
+	if err != nil {
+		slog.Error("new configuration not taken: the old one stays in force", "err", err)
+		return
+	}
+	if next.discovery != c.discovery {
+		slog.Info("discovery moves", "from", c.discovery, "to", next.discovery)
+		c.discovery = next.discovery
+		watcher.Move(c.discovery)
+	}
+	if !bytes.Equal(next.fixed, c.fixed) {
+		slog.Warn("new configuration: only discovery is taken while running, the rest with the next start")
+	}
+	slog.Info("configuration read again", "discovery", c.discovery)
+}
+
+func quit(c *Config, host *core.Host, srv *front.Server) {
+	began := time.Now()
+	var longest time.Duration
+	for _, d := range c.settings.Deadlines {
+		longest = max(longest, d)
+	}
+	slog.Info("stopping", "held", host.Held())
+	host.QuitAt(longest + quitAfter)
+	srv.Drain()
+	for time.Since(began) < lameFor || srv.Busy() > 0 && time.Since(began) < longest+quitAfter+100*time.Millisecond {
+		time.Sleep(10 * time.Millisecond)
+	}
+	slog.Info("stopped", "busy", srv.Busy(), "held", host.Held(), "after", time.Since(began))
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/membership"
 )
 
 const (
@@ -28,21 +29,8 @@
 	backoffMax  = 500 * time.Millisecond
 )
 
-// Entry is one server on the list.
-type Entry struct {
-	chalkrack.Endpoint
-	Address string
-}
-
-// List is a list of servers, or of those that changed.
-type List struct {
-	Index   int64
-	Whole   bool
-	Entries []Entry
-}
-
 // Parse reads a list in discovery's form. An entry that is of no use is left out.
-func Parse(data []byte) (*List, error) {
+func Parse(data []byte) (*membership.List, error) {
 	var raw struct {
 		Index     *int64
 		Snapshot  bool
@@ -54,7 +42,7 @@
 	if raw.Index == nil {
 		return nil, errors.New("discovery: a list without index")
 	}
-	l := &List{Index: *raw.Index, Whole: raw.Snapshot, Entries: make([]Entry, 0, len(raw.Endpoints))}
+	l := &membership.List{Index: *raw.Index, Whole: raw.Snapshot, Entries: make([]membership.Entry, 0, len(raw.Endpoints))}
 	for _, r := range raw.Endpoints {
 		e, err := parseEntry(r)
 		if err != nil {
@@ -68,7 +56,7 @@
 
 var states = map[string]chalkrack.State{"up": chalkrack.Serving, "draining": chalkrack.Draining, "removed": chalkrack.Gone}
 
-func parseEntry(data []byte) (Entry, error) {
+func parseEntry(data []byte) (membership.Entry, error) {
 	var raw struct {
 		Name, Address, Zone, Status string
 		Group                       int
@@ -76,23 +64,23 @@
 		SinceMs                     float64 `json:"since_ms"`
 	}
 	if err := json.Unmarshal(data, &raw); err != nil {
-		return Entry{}, err
+		return membership.Entry{}, err
 	}
 	state, ok := states[raw.Status]
 	switch {
 	case raw.Name == "":
-		return Entry{}, errors.New("no name")
+		return membership.Entry{}, errors.New("no name")
 	case !ok:
-		return Entry{}, fmt.Errorf("unknown status %q", raw.Status)
+		return membership.Entry{}, fmt.Errorf("unknown status %q", raw.Status)
 	case raw.SinceMs < 0 || raw.SinceMs > math.MaxInt64/1e6:
-		return Entry{}, errors.New("since_ms out of range")
+		return membership.Entry{}, errors.New("since_ms out of range")
 	}
 	if state != chalkrack.Gone {
 		if _, _, err := net.SplitHostPort(raw.Address); err != nil {
-			return Entry{}, err
+			return membership.Entry{}, err
 		}
 	}
-	return Entry{
+	return membership.Entry{
 		Endpoint: chalkrack.Endpoint{
 			Name:    raw.Name,
 			Zone:    raw.Zone,
@@ -109,7 +97,7 @@
 type Watcher struct {
 	Addr   string
 	Index  int64
-	Listed func(*List)
+	Listed func(*membership.List)
 	Failed func(error)
 	Wait   time.Duration // how long an answer may take to begin
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/membership"
 )
 
 const patience = 20 * time.Second
@@ -78,7 +79,7 @@
 		}
 	}()
 	w := &Watcher{Addr: ln.Addr().String(), Wait: patience, Failed: func(error) {}}
-	w.Listed = func(l *List) {
+	w.Listed = func(l *membership.List) {
 		var names []string
 		for _, e := range l.Entries {
 			names = append(names, e.Name)
@@ -183,7 +184,7 @@
 	asked := make(chan string, 100)
 	old, next := agent(t, "old", list(50, true, entry("a")), asked), agent(t, "next", list(3, true, entry("b")), asked)
 	got := make(chan string, 100)
-	w := &Watcher{Addr: old, Wait: patience, Failed: func(error) {}, Listed: func(l *List) { got <- l.Entries[0].Name }}
+	w := &Watcher{Addr: old, Wait: patience, Failed: func(error) {}, Listed: func(l *membership.List) { got <- l.Entries[0].Name }}
 	over := make(chan struct{})
 	go func() { w.Follow(); close(over) }()
 	expect := func(ch <-chan string, want string) {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -2,46 +2,39 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"chalkrack/internal/upstream"
+	"chalkrack/internal/core"
+	"chalkrack/internal/message"
 )
 
 // Exchange is one request and its answer. Its answering methods may be called
 // from any goroutine, one of them once.
 type Exchange struct {
-	Request  upstream.Request
-	Class    string
-	Tenant   string
-	Key      string
-	Wait     time.Duration
-	Received time.Time
-	State    any // the handler's
+	core.Call
+	Request message.Request
 
 	conn     *conn
-	id       string
 	body     [][]byte
 	reserved int64
 	keep     bool // the connection may go on
 	http10   bool
 }
 
-var hop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true, "Req-Deadline-Ms": true,
-}
-
 // parse takes r over; it returns the status to answer at once, 0 for none.
 func (x *Exchange) parse(r *http.Request, h Handler) (status int) {
 	x.http10 = !r.ProtoAtLeast(1, 1)
 	// The class tells what may be repeated, and servers go by the path: guards
 	// against one that does not exist and two that differ.
-	x.Class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, mapped := x.conn.srv.cfg.Paths[r.URL.Path]
+	if !mapped {
+		class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	}
+	x.Class = class
 	if !h.Known(x.Class) {
 		return http.StatusNotFound
 	}
@@ -52,7 +45,7 @@
 	if len(id) != 1 || id[0] == "" {
 		return http.StatusBadRequest
 	}
-	x.id = id[0]
+	x.ID = id[0]
 	if d := r.Header.Get("Req-Deadline-Ms"); d != "" {
 		ms, err := strconv.ParseInt(d, 10, 32)
 		if err != nil || ms < 0 {
@@ -60,6 +53,9 @@
 		}
 		x.Wait = max(time.Duration(ms)*time.Millisecond, 1)
 	}
+	if mark := r.Header[message.AttemptsField]; mark != nil {
+		x.Limits = limits(mark)
+	}
 	x.Tenant = r.Header.Get("Req-Owner")
 	if r.Header.Get("Cookie") != "" {
 		if c, err := r.Cookie("user"); err == nil {
@@ -70,60 +66,63 @@
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
 	}
-	b := make([]byte, 0, 512)
-	b = append(b, r.Method...)
-	b = append(b, ' ')
-	b = append(b, uri...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, r.Host...)
-	b = append(b, "\r\n"...)
-	b = appendHeader(b, r.Header)
+	size := int64(-1)
 	if x.body != nil || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		size := 0
+		size = 0
 		for _, p := range x.body {
-			size += len(p)
+			size += int64(len(p))
 		}
-		b = appendLength(b, int64(size))
 	}
-	x.Request = upstream.Request{Method: r.Method, Head: b, Body: x.body}
+	b := message.AppendHead(make([]byte, 0, 512), r.Method, uri, r.Host, r.Header, size)
+	x.Request = message.Request{Method: r.Method, Head: b, Body: x.body}
+	x.Payload, x.Caller = &x.Request, x
 	return 0
 }
 
-func appendHeader(b []byte, h http.Header) []byte {
-	for name, values := range h {
-		if hop[name] {
-			continue
-		}
-		for _, v := range values {
-			b = append(b, name...)
-			b = append(b, ": "...)
-			b = append(b, v...)
-			b = append(b, "\r\n"...)
+// limits reads what the tier before leaves to this one. What makes no sense leaves one
+// attempt: guards against a spoilt mark that would add attempts to those of the tier
+// that set it.
+func limits(values []string) *core.Limits {
+	mark := strings.Join(values, ",")
+	if len(values) == 1 {
+		number, _, _ := strings.Cut(mark, ";")
+		if n, err := strconv.Atoi(strings.TrimSpace(number)); err == nil && n > 1 {
+			return &core.Limits{Attempts: n}
 		}
 	}
-	return b
+	return &core.Limits{Attempts: 1, Mark: "=" + mark}
 }
 
-func appendLength(b []byte, n int64) []byte {
-	b = append(b, "Content-Length: "...)
-	b = strconv.AppendInt(b, n, 10)
-	return append(b, "\r\n"...)
-}
-
-// Refuse tells the client that trying again is harmless.
-func (x *Exchange) Refuse(retryAfter time.Duration) {
+// Refuse implements core.Caller: the client is told that trying again is harmless.
+// A tier before this one is told too when nothing has run, in the words of a server
+// that turns a request away: it may then make another attempt, whatever the class.
+func (x *Exchange) Refuse(retryAfter time.Duration, unsent bool) {
 	field := ""
 	if retryAfter > 0 {
 		field = "Retry-After: " + strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64) + "\r\n"
 	}
+	if unsent && x.Limits != nil {
+		field += "Srv-Declined: 1\r\n"
+	}
 	x.answer(http.StatusServiceUnavailable, field, nil, nil)
 }
 
-// Fail tells the client that the request failed.
+// Fail implements core.Caller: the client is told that the request failed.
 func (x *Exchange) Fail() { x.answer(http.StatusBadGateway, "", nil, nil) }
 
-// Serve passes on a server's whole answer.
-func (x *Exchange) Serve(ans *upstream.Answer) { x.answer(http.StatusOK, "", ans.Header, ans.Body) }
+// Serve implements core.Caller: a server's whole answer, a *message.Answer, is passed
+// on.
+func (x *Exchange) Serve(answer any) {
+	ans := answer.(*message.Answer)
+	x.answer(statusOf(ans), "", ans.Header, ans.Body)
+}
+
+func statusOf(ans *message.Answer) int {
+	if ans.Status == 0 {
+		return http.StatusOK
+	}
+	return ans.Status
+}
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
 
@@ -140,7 +139,7 @@
 	c := x.conn
 	x.keep = x.keep && !c.srv.closing()
 	buf := buffers.Get().(*[]byte)
-	b := appendLength(x.head((*buf)[:0], status, field, h), int64(len(body)))
+	b := message.AppendLength(x.head((*buf)[:0], status, field, h), int64(len(body)))
 	b = append(b, "\r\n"...)
 	b = append(b, body...)
 	// Small ones too: guards against a client that asks and never reads, whose full
@@ -159,7 +158,7 @@
 	b = append(b, http.StatusText(status)...)
 	b = append(b, "\r\n"...)
 	b = append(b, field...)
-	b = appendHeader(b, h)
+	b = message.AppendFields(b, h)
 	if !x.keep {
 		b = append(b, "Connection: close\r\n"...)
 	} else if x.http10 {
@@ -185,7 +184,7 @@
 	s.mu.Lock()
 	keep := ok && x.keep
 	if c.x != nil {
-		delete(s.open, c.x.id)
+		delete(s.open, c.x.ID)
 	}
 	c.x, c.busy, c.since = nil, false, time.Now()
 	c.shut = c.shut || !keep
@@ -196,8 +195,7 @@
 	c.served.Signal()
 }
 
-// Release gives the body's bytes back to the budget. The handler calls it when
-// no attempt needs the body any more.
+// Release implements core.Caller: it gives the body's bytes back to the budget.
 func (x *Exchange) Release() {
 	x.conn.srv.budget.give(x.reserved)
 	x.reserved = 0
@@ -217,17 +215,18 @@
 	left    int64
 }
 
-// Stream begins a long answer; ans.Body is its beginning.
-func (x *Exchange) Stream(ans *upstream.Answer) *Stream {
+// Stream implements core.Caller; the answer, a *message.Answer, holds the beginning.
+func (x *Exchange) Stream(answer any) core.Stream {
+	ans := answer.(*message.Answer)
 	w := &Stream{x: x, left: ans.Length}
 	x.keep = x.keep && !x.conn.srv.closing()
 	if ans.Length < 0 {
 		w.chunked = !x.http10
 		x.keep = x.keep && w.chunked
 	}
-	w.head = x.head(nil, http.StatusOK, "", ans.Header)
+	w.head = x.head(nil, statusOf(ans), "", ans.Header)
 	if ans.Length >= 0 {
-		w.head = appendLength(w.head, ans.Length)
+		w.head = message.AppendLength(w.head, ans.Length)
 	} else if w.chunked {
 		w.head = append(w.head, "Transfer-Encoding: chunked\r\n"...)
 	}
@@ -264,7 +263,7 @@
 	return len(p), nil
 }
 
-var _ io.Writer = (*Stream)(nil)
+var _ core.Caller = (*Exchange)(nil)
 
 // End ends the answer; ok says that all of it came.
 func (w *Stream) End(ok bool) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"chalkrack/internal/core"
+	"chalkrack/internal/message"
 )
 
 const (
@@ -35,12 +38,11 @@
 	freshMost   = 500 * time.Millisecond
 )
 
-// Handler takes requests. Each Exchange that arrives is ended once, by one of
-// its own methods, or by Gone, and released when its body is not needed.
+// Handler takes calls: the core.
 type Handler interface {
-	Arrive(x *Exchange)
+	Arrive(c *core.Call)
 	// Gone says that the client has left; false if an answer is under way.
-	Gone(x *Exchange) bool
+	Gone(c *core.Call) bool
 	// Ready says whether clients may come.
 	Ready() bool
 	// Known says whether there is a class of that name.
@@ -51,6 +53,9 @@
 type Config struct {
 	MostConns int   // client connections at once
 	MostBody  int64 // bytes of request bodies held at once
+	// Paths has the class of requests to some exact paths. Elsewhere the first part of
+	// the path is the class.
+	Paths map[string]string
 }
 
 // Server serves the client.
@@ -238,7 +243,7 @@
 			c.srv.mu.Lock()
 			x := c.x
 			c.srv.mu.Unlock()
-			if x != nil && c.srv.handler.Gone(x) {
+			if x != nil && c.srv.handler.Gone(&x.Call) {
 				x.Fail()
 			}
 		}
@@ -259,7 +264,7 @@
 				x.Release()
 				continue
 			}
-			c.srv.handler.Arrive(x)
+			c.srv.handler.Arrive(&x.Call)
 		}
 	}
 }
@@ -271,10 +276,10 @@
 	s := c.srv
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, taken := s.open[x.id]; taken {
+	if _, taken := s.open[x.ID]; taken {
 		return false
 	}
-	s.open[x.id] = struct{}{}
+	s.open[x.ID] = struct{}{}
 	c.x = x
 	return true
 }
@@ -297,7 +302,7 @@
 	if err != nil && c.x != nil {
 		x := c.x
 		s.mu.Unlock()
-		if s.handler.Gone(x) {
+		if s.handler.Gone(&x.Call) {
 			return false
 		}
 		s.mu.Lock()
@@ -319,7 +324,7 @@
 	c.srv.mu.Lock()
 	c.shut = true
 	if c.x != nil {
-		delete(c.srv.open, c.x.id)
+		delete(c.srv.open, c.x.ID)
 	}
 	delete(c.srv.conns, c)
 	c.srv.mu.Unlock()
@@ -355,7 +360,7 @@
 		return nil, status
 	}
 	c.nc.SetReadDeadline(time.Time{})
-	x := &Exchange{conn: c, Received: time.Now(), body: body, reserved: kept, keep: !r.Close}
+	x := &Exchange{Call: core.Call{Received: time.Now()}, conn: c, body: body, reserved: kept, keep: !r.Close}
 	status = x.parse(r, c.srv.handler)
 	switch {
 	case r.URL.Path == "/_health":
@@ -366,7 +371,7 @@
 	case status == 0 && (crowded || kept < 0):
 		slog.Warn("request refused at a limit", "crowded", crowded, "conns", c.srv.tally())
 		x.keep = x.keep && !crowded
-		x.Refuse(limitRetry)
+		x.Refuse(limitRetry, true)
 		x.Release()
 		return nil, 0
 	}
@@ -495,7 +500,7 @@
 // as idle, so that it gives way to others.
 func (c *conn) reject(status int) {
 	x := &Exchange{conn: c}
-	b := append(appendLength(x.head(nil, status, "", nil), 0), "\r\n"...)
+	b := append(message.AppendLength(x.head(nil, status, "", nil), 0), "\r\n"...)
 	c.nc.SetWriteDeadline(time.Now().Add(lingerMost))
 	c.nc.Write(b)
 	if tc, ok := c.nc.(*net.TCPConn); ok {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -12,7 +12,8 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/upstream"
+	"chalkrack/internal/core"
+	"chalkrack/internal/message"
 )
 
 const patience = 20 * time.Second
@@ -26,11 +27,10 @@
 	over map[*Exchange]bool
 }
 
-func (f *fake) Arrive(x *Exchange) {
-	f.do(x)
-}
+func (f *fake) Arrive(c *core.Call) { f.do(c.Caller.(*Exchange)) }
 
-func (f *fake) Gone(x *Exchange) bool {
+func (f *fake) Gone(c *core.Call) bool {
+	x := c.Caller.(*Exchange)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.over[x] {
@@ -44,7 +44,7 @@
 
 func (f *fake) Ready() bool              { return true }
 func (f *fake) Known(class string) bool  { return class == "a" }
-func answerWhole(x *Exchange, b string)  { x.Serve(&upstream.Answer{Body: []byte(b)}); x.Release() }
+func answerWhole(x *Exchange, b string)  { x.Serve(&message.Answer{Body: []byte(b)}); x.Release() }
 func echo(x *Exchange)                   { answerWhole(x, string(bytes.Join(x.Request.Body, nil))) }
 func field(name, value string) string    { return name + ": " + value + "\r\n" }
 func request(line, fields string) string { return line + " HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" }
@@ -208,7 +208,7 @@
 }
 
 func TestAnswers(t *testing.T) {
-	_, _, dial := start(t, Config{}, func(x *Exchange) { x.Refuse(1500 * time.Millisecond) })
+	_, _, dial := start(t, Config{}, func(x *Exchange) { x.Refuse(1500*time.Millisecond, false) })
 	if status, _, h := dial().say(request("GET /a", ids)).hear(); status != 503 || h.Get("Retry-After") != "1.500" {
 		t.Errorf("refusal: %d %v", status, h)
 	}
@@ -473,7 +473,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			_, _, dial := start(t, Config{}, func(x *Exchange) {
-				w := x.Stream(&upstream.Answer{Length: c.length})
+				w := x.Stream(&message.Answer{Length: c.length})
 				io.WriteString(w, "he")
 				io.WriteString(w, "llo")
 				w.End(c.end)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/core"
+	"chalkrack/internal/message"
 )
 
 const (
@@ -31,37 +33,15 @@
 	smallSend = 8 << 10
 )
 
-// Request is a client's request as each of its attempts sends it.
-type Request struct {
-	Method string
-	Head   []byte   // request line and header fields, but for the deadline and the empty line
-	Body   [][]byte // in pieces
-}
-
-// Answer is a server's answer of 200.
-type Answer struct {
-	Header http.Header
-	Body   []byte // whole, or of a long one what has come so far
-	Length int64  // of a long one, -1 if it is not told
-}
-
-// Sink is told how an attempt goes.
-type Sink interface {
-	// Stream says that a long answer has begun, and asks where the rest goes; nil
-	// if nobody wants it.
-	Stream(ans *Answer, rep chalkrack.Report) io.Writer
-	// Done tells the outcome; ans is set for a whole answer. Only the first call counts.
-	Done(o chalkrack.Outcome, ans *Answer, rep chalkrack.Report)
-}
-
 // Attempt is one send of a request to one server.
 type Attempt struct {
-	Request  *Request
+	Request  *message.Request
 	Server   string
+	N        int       // which attempt of its call, from 0
 	Deadline time.Time // when the sidecar stops waiting
 	NotAfter time.Time // when it is too late to begin; zero: never
 	Once     bool      // must not run twice
-	Sink     Sink
+	Sink     core.Sink
 
 	pool *Pool
 	to   *server
@@ -83,6 +63,23 @@
 	answering bool // an answer has begun; for the log
 }
 
+// Attempt implements core.Transport. The payload is a *message.Request.
+func (p *Pool) Attempt(o core.Order) core.Attempt {
+	return &Attempt{
+		Request:  o.Payload.(*message.Request),
+		Server:   o.Server,
+		N:        o.N,
+		Deadline: o.Deadline,
+		NotAfter: o.NotAfter,
+		Once:     o.Once,
+		Sink:     o.Sink,
+		pool:     p,
+	}
+}
+
+// Start implements core.Attempt.
+func (a *Attempt) Start() { a.pool.Start(a) }
+
 // Start makes the attempt. It does not wait for the server.
 func (p *Pool) Start(a *Attempt) {
 	a.pool = p
@@ -215,6 +212,10 @@
 	head := append((*buf)[:0], a.Request.Head...)
 	head = append(head, "Req-Deadline-Ms: "...)
 	head = strconv.AppendInt(head, max(1, time.Until(a.Deadline).Milliseconds()), 10)
+	if a.Request.Marked {
+		head = append(head, "\r\n"+message.AttemptsField+": 1; nth="...)
+		head = strconv.AppendInt(head, int64(a.N+1), 10)
+	}
 	head = append(head, "\r\n\r\n"...)
 	size := len(head)
 	for _, piece := range a.Request.Body {
@@ -424,7 +425,7 @@
 		return false
 	}
 	rep := ParseLoad(resp.Header.Get("Srv-Load"))
-	ans := &Answer{Header: resp.Header, Length: resp.ContentLength}
+	ans := &message.Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
 	// Of a long one too so much comes first: guards against taking the client's only
 	// answer for a head that nothing follows.
 	var long bool
@@ -432,12 +433,13 @@
 		a.done(chalkrack.Reset)
 		return false
 	}
-	if long && resp.StatusCode == http.StatusOK {
+	good := resp.StatusCode == http.StatusOK || a.pool.cfg.PassClientErrors && clientError(resp.StatusCode)
+	if long && good {
 		return a.stream(c, resp, ans, rep)
 	}
 	// The next request must find nothing of this answer on the connection.
 	goesOn = !long && !resp.Close && c.br.Buffered() == 0 && a.isWritten()
-	if resp.StatusCode == http.StatusOK {
+	if good {
 		a.Sink.Done(chalkrack.OK, ans, rep)
 		return goesOn
 	}
@@ -445,10 +447,16 @@
 	if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) && resp.Header.Get("Srv-Declined") == "1" {
 		o = chalkrack.Full
 	}
-	a.Sink.Done(o, nil, rep)
+	a.Sink.Done(o, ans, rep)
 	return goesOn
 }
 
+// clientError says that a status blames the request: another server would say the
+// same, so it is an answer and no failed attempt. 408 and 429 speak of the server.
+func clientError(status int) bool {
+	return status/100 == 4 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
+
 func (a *Attempt) isWritten() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -511,7 +519,7 @@
 }
 
 // stream passes a long answer on as it comes.
-func (a *Attempt) stream(c *conn, resp *http.Response, ans *Answer, rep chalkrack.Report) bool {
+func (a *Attempt) stream(c *conn, resp *http.Response, ans *message.Answer, rep chalkrack.Report) bool {
 	w := a.Sink.Stream(ans, rep)
 	if w == nil { // the request is over: reading the rest on would only cost
 		a.Sink.Done(chalkrack.OK, nil, rep)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,6 +20,9 @@
 	DrainGrace  time.Duration
 	MostConns   int           // connections at once, those being dialled included
 	Stall       time.Duration // what an answer may pause before it is passed on; 0: stallMost
+	// PassClientErrors takes an answer of 4xx (but for 408 and 429) as the server's
+	// answer to the request, not as a failed attempt.
+	PassClientErrors bool
 }
 
 // Pool keeps the connections to all servers.
@@ -198,6 +201,10 @@
 	closeAll(old)
 }
 
+// Close closes all idle connections, and others when their attempts end: each server
+// counts as one that has left, so nothing new is sent.
+func (p *Pool) Close() { p.Keep(nil) }
+
 // Conns is the number of connections.
 func (p *Pool) Conns() int {
 	p.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/message"
 )
 
 const patience = 20 * time.Second // far beyond what any step takes
@@ -74,10 +75,10 @@
 
 func newSink() *sink { return &sink{done: make(chan result, 10)} }
 
-func (s *sink) Stream(*Answer, chalkrack.Report) io.Writer { return &s.streamed }
-func (s *sink) Done(o chalkrack.Outcome, ans *Answer, rep chalkrack.Report) {
+func (s *sink) Stream(any, chalkrack.Report) io.Writer { return &s.streamed }
+func (s *sink) Done(o chalkrack.Outcome, answer any, rep chalkrack.Report) {
 	r := result{o: o, rep: rep}
-	if ans != nil {
+	if ans, _ := answer.(*message.Answer); ans != nil && o == chalkrack.OK {
 		r.body = string(ans.Body)
 	}
 	s.done <- r
@@ -100,7 +101,7 @@
 
 func get(s *sink) *Attempt {
 	return &Attempt{
-		Request:  &Request{Method: "GET", Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n")},
+		Request:  &message.Request{Method: "GET", Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\n")},
 		Server:   "s",
 		Deadline: time.Now().Add(patience),
 		Sink:     s,
@@ -485,7 +486,7 @@
 				s := newSink()
 				a := get(s)
 				a.Once = c.once
-				a.Request = &Request{Method: "POST", Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"), Body: [][]byte{[]byte("hello")}}
+				a.Request = &message.Request{Method: "POST", Head: []byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"), Body: [][]byte{[]byte("hello")}}
 				p.Start(a)
 				if r := s.wait(t); r.o != c.want {
 					t.Errorf("outcome %d, want %d", r.o, c.want)
