Plug-in: the core as an http.RoundTripper, beside or past the daemon

Point-of-sale apps that link the sidecar into their own process must choose nodes, limit attempts and keep class rules exactly as the daemon does, and the two on one host must not double retries.

Package client hosts the same core in the caller's process. What it decides on is marked, so that a daemon on the way makes one attempt. With Config.Daemon the daemon decides while it is there, told to leave one attempt; internal/failover, without I/O, says when calls go past it and when they go back.

--- /dev/null
+++ b/client/process_test.go
@@ -0,0 +1,140 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"chalkrack/internal/rig"
+	"chalkrack/internal/standin"
+)
+
+var built string // folder of the daemon's binary
+
+// binary builds the daemon, once.
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "daemon")
+	if err != nil {
+		return "", err
+	}
+	built = dir
+	path := filepath.Join(dir, "daemon")
+	if out, err := exec.Command("go", "build", "-o", path, "../cmd/fawnrock").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+// The daemon restarts under load, by SIGTERM and by SIGKILL, a few times: every call
+// has its one answer, nothing that must not runs twice, no call has more attempts than
+// both tiers together may make, the plug-in carries on meanwhile and goes back, and the
+// servers see no burst when it does.
+func TestDaemonRestartsUnderLoad(t *testing.T) {
+	path, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, kill := range []bool{false, true} {
+		t.Run(fmt.Sprintf("kill=%v", kill), func(t *testing.T) {
+			const (
+				workers = 8
+				pace    = 20 * time.Millisecond
+				most    = 4
+			)
+			cs := classes(5 * time.Second)
+			site := newSite(t, rig.SiteConfig{Classes: cs, Servers: 4, Attempts: most, Server: standin.ServerConfig{
+				Script: standin.Random(7,
+					standin.Odd{Share: 0.05, Act: standin.Act{Kind: standin.Decline}},
+					standin.Odd{Share: 0.05, Act: standin.Act{Kind: standin.CloseLate}},
+					standin.Odd{Share: 0.9, Act: standin.Act{Delay: 10 * time.Millisecond}}),
+			}})
+			d, err := site.StartProcess(path, 3, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.Close()
+			tr := newTransport(t, Config{Platform: site.JSON("127.0.0.1:1", 5), Daemon: d.Addr, Seed: 5})
+			stop := make(chan struct{})
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			p := play{verdicts: make(map[string]string), classOf: make(map[string]string)}
+			for w := range workers {
+				wg.Go(func() {
+					m := mix(uint64(w), cs)
+					tick := time.NewTicker(pace)
+					defer tick.Stop()
+					for {
+						select {
+						case <-stop:
+							return
+						case <-tick.C:
+						}
+						a := m.Next()
+						a.ID = fmt.Sprint(w, "-", a.ID)
+						r := ask(context.Background(), tr, a)
+						mu.Lock()
+						p.verdicts[a.ID], p.classOf[a.ID] = r.Verdict(), a.Class.Name
+						if r.Verdict() == "none" {
+							t.Errorf("%s %s: %v", a.Class.Name, a.ID, r.Err)
+						}
+						mu.Unlock()
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			var returns []time.Time
+			for range 2 {
+				if kill {
+					d.Kill()
+				} else if err := d.Stop(); err != nil {
+					t.Errorf("the daemon's end: %v", err)
+				}
+				settle(t, "it never takes over", func() bool { return !tr.ByDaemon() })
+				before := len(site.Ledger.Log())
+				settle(t, "nothing goes past the daemon", func() bool { return len(site.Ledger.Log()) > before+20 })
+				if err := d.Start(); err != nil {
+					t.Fatal(err)
+				}
+				settle(t, "it never goes back", tr.ByDaemon)
+				returns = append(returns, time.Now())
+				time.Sleep(300 * time.Millisecond)
+			}
+			close(stop)
+			wg.Wait()
+			settle(t, "calls are held", func() bool { return tr.held() == 0 })
+			p.counts = site.Ledger.IDs()
+			if broken := p.rules(most); broken != nil {
+				t.Errorf("%d broken: %.2000v", len(broken), broken)
+			}
+			served := 0
+			for _, v := range p.verdicts {
+				if v == "served" {
+					served++
+				}
+			}
+			if served < len(p.verdicts)*8/10 {
+				t.Errorf("%d of %d served", served, len(p.verdicts))
+			}
+			// Workers wait for their answers and ticks don't add up: at a return the
+			// servers can see at most one call of each worker beside the usual ones.
+			usual := float64(workers) / pace.Seconds()
+			for _, at := range returns {
+				n := 0
+				for _, a := range site.Ledger.Log() {
+					if !a.At.Before(at) && a.At.Before(at.Add(100*time.Millisecond)) {
+						n++
+					}
+				}
+				if most := usual*0.1*1.5 + workers; float64(n) > most {
+					t.Errorf("%d arrivals in the 100 ms after a return, usually %.0f", n, usual*0.1)
+				}
+			}
+			t.Logf("%d calls, %d served, %d arrivals", len(p.verdicts), served, len(site.Ledger.Log()))
+		})
+	}
+}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -150,8 +150,16 @@
 	return acts
 }
 
-// Arrive takes a call, which it ends once.
+// Arrive takes a call, which it ends once, also where the Balancer panics on it.
 func (h *Host) Arrive(c *Call) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.log().Error("panic", "at", "a call that arrives", "panic", p, "stack", string(debug.Stack()))
+			if h.Gone(c) {
+				c.Caller.Fail()
+			}
+		}
+	}()
 	h.locked(func(now time.Duration) {
 		if h.closed || h.set.MostHeld > 0 && len(h.held) >= h.set.MostHeld {
 			h.log().Warn("call refused", "held", len(h.held), "closed", h.closed)
@@ -172,7 +180,7 @@
 		class := h.set.Class([]byte(c.Class))
 		wait := c.Wait
 		if wait == 0 {
-			wait = h.longest(class)
+			wait = h.set.DeadlineOf(c.Class)
 		}
 		deadline := now - time.Since(c.Received) + min(wait, longestWait) - min(deadlineMargin, wait/10)
 		if h.quitAt > 0 {
@@ -197,17 +205,6 @@
 	})
 }
 
-// longest is a class's own deadline, that of the longest for one unknown.
-func (h *Host) longest(class int) (d time.Duration) {
-	for n, own := range h.set.Deadlines {
-		if n == class {
-			return own
-		}
-		d = max(d, own)
-	}
-	return max(d, time.Second)
-}
-
 // Gone says that a call's caller has left. False says that its answer is under way
 // or given, so that the caller hears of it all the same. It holds also where the
 // Balancer panics: the caller's side comes here to end a call that a panic has left
@@ -260,12 +257,14 @@
 	})
 }
 
-// Close ends all that is still held, and the timer. Calls that arrive later are
-// refused.
+// Close ends all that is still held, as failed, and the timer. Calls that arrive later
+// are refused.
 func (h *Host) Close() {
 	h.locked(func(now time.Duration) {
 		h.closed = true
 		for _, q := range h.held {
+			h.b.ClientGone(now, q.id) // first: else it would be attempted once more
+			h.end(q, action{kind: actFail})
 			h.expire(now, q)
 		}
 	})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,6 +70,9 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	watcher.Listed, watcher.Failed = host.Listed, host.DiscoveryFailed
+	defer pool.Close()
+	defer host.Close()
+	defer watcher.Close()
 	if c.known != nil {
 		host.Listed(c.known)
 	}
@@ -144,10 +147,7 @@
 
 func quit(c *Config, host *core.Host, srv *front.Server) {
 	began := time.Now()
-	var longest time.Duration
-	for _, d := range c.settings.Deadlines {
-		longest = max(longest, d)
-	}
+	longest := c.settings.Longest()
 	slog.Info("stopping", "held", host.Held())
 	host.QuitAt(longest + quitAfter)
 	srv.Drain()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -159,7 +159,7 @@
 	}
 }
 
-// Close ends the watch.
+// Close ends the watch, and Follow.
 func (w *Watcher) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -167,6 +167,12 @@
 	if w.conn != nil {
 		w.conn.Close()
 	}
+	if w.wake != nil {
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func (w *Watcher) closed() bool {
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,307 @@
+// Package rig puts a site of stand-ins together, and the daemon before it: what
+// demonstrations, rehearsals and tests of the whole begin with.
+package rig
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"chalkrack/internal/daemon"
+	"chalkrack/internal/standin"
+)
+
+// Class is a class of the site's settings.
+type Class struct {
+	Name     string
+	Effect   standin.Effect
+	Scope    string        // for Keyed: all, zone or cell
+	Window   time.Duration // for Keyed
+	Aim      time.Duration
+	Deadline time.Duration
+	Worth    float64
+}
+
+// windowSlack is for how much longer than they promise servers remember a key: what is
+// sent within the window arrives a moment later.
+const windowSlack = 250 * time.Millisecond
+
+// Activation is the operators' three classes, as their brief has them.
+func Activation() []Class {
+	return []Class{
+		{"status-check", standin.Safe, "", 0, 800 * time.Millisecond, 3 * time.Second, 1},
+		{"id-register", standin.Keyed, "all", 1500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 3},
+		{"activate", standin.Unsafe, "", 0, 750 * time.Millisecond, 2500 * time.Millisecond, 10},
+	}
+}
+
+// SiteConfig is what a Site is told.
+type SiteConfig struct {
+	Servers  int
+	Classes  []Class
+	Server   standin.ServerConfig // of each; Name and Ledger are the site's
+	Attempts int                  // of one request at most; 0: 5
+	NoCopies bool                 // no second copies
+	NoHedge  bool                 // copies are allowed and their budget is next to nothing
+	ColdFrom float64
+	ColdFor  time.Duration
+}
+
+// Site is a fleet of stand-ins with its discovery.
+type Site struct {
+	Config    SiteConfig
+	Ledger    *standin.Ledger
+	Servers   []*standin.Server
+	Discovery *standin.Discovery
+}
+
+// NewSite starts the stand-ins.
+func NewSite(cfg SiteConfig) (*Site, error) {
+	var window time.Duration
+	for _, c := range cfg.Classes {
+		window = max(window, c.Window+windowSlack)
+	}
+	s := &Site{Config: cfg, Ledger: standin.NewLedger(window)}
+	var list []standin.Endpoint
+	for n := range cfg.Servers {
+		sc := cfg.Server
+		sc.Name, sc.Ledger = fmt.Sprintf("s%d", n+1), s.Ledger
+		server, err := standin.NewServer(sc)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.Servers = append(s.Servers, server)
+		list = append(list, s.Endpoint(n, "up"))
+	}
+	var err error
+	if s.Discovery, err = standin.NewDiscovery(list...); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Endpoint is the entry of the n-th server, from 0.
+func (s *Site) Endpoint(n int, status string) standin.Endpoint {
+	server := s.Servers[n]
+	e := standin.Endpoint{Name: server.Name(), Address: server.Addr(), Zone: "z", Status: status, Weight: 1}
+	if s.Config.ColdFor > 0 {
+		e.SinceMs = server.Started().UnixMilli()
+	}
+	return e
+}
+
+// Close ends all of it.
+func (s *Site) Close() {
+	if s.Discovery != nil {
+		s.Discovery.Close()
+	}
+	for _, server := range s.Servers {
+		server.Close()
+	}
+}
+
+// JSON is a daemon's configuration for the site, in the platform's form.
+func (s *Site) JSON(listen string, seed uint64) []byte {
+	effects := map[standin.Effect]string{standin.Safe: "repeatable", standin.Keyed: "by_key", standin.Unsafe: "once"}
+	var classes []map[string]any
+	for _, c := range s.Config.Classes {
+		m := map[string]any{"name": c.Name, "effect": effects[c.Effect], "promiseUs": c.Aim.Microseconds(), "hardLimitUs": c.Deadline.Microseconds(), "worth": c.Worth}
+		if c.Effect == standin.Keyed {
+			m["dedupScope"], m["repeatWindowUs"] = c.Scope, c.Window.Microseconds()
+		}
+		classes = append(classes, m)
+	}
+	attempts := s.Config.Attempts
+	if attempts == 0 {
+		attempts = 5
+	}
+	waste := 0.0
+	if s.Config.NoHedge {
+		waste = 1e9
+	}
+	var list []standin.Endpoint
+	for n := range s.Servers {
+		list = append(list, s.Endpoint(n, "up"))
+	}
+	text, err := json.Marshal(map[string]any{
+		"name": "n1", "listen": listen, "discovery": s.Discovery.Addr(), "seed": fmt.Sprintf("%016x", seed),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":  map[string]any{"index": 1, "snapshot": true, "endpoints": list},
+		"settings": map[string]any{
+			"replicasOfMe": 1, "zone": "z",
+			"caps": map[string]any{"attemptsCap": attempts, "mayCancel": true, "secondCopies": !s.Config.NoCopies, "retryAfter": true,
+				"maxRetryAfterUs": 1000000, "connIdleUs": 15000000, "dialTimeoutUs": 250000, "mostHeld": 4096},
+			"costs": map[string]any{"waste": waste},
+			"guarantees": map[string]any{"drainGraceUs": 2000000, "coldFrom": s.Config.ColdFrom, "coldUs": s.Config.ColdFor.Microseconds(),
+				"overloadFactor": s.Config.Server.FallFactor, "overloadForUs": s.Config.Server.FallFor.Microseconds()},
+			"classes": classes,
+		},
+	})
+	if err != nil {
+		panic(err) // of constants and numbers
+	}
+	return text
+}
+
+// Daemon is a daemon that runs before a site.
+type Daemon struct {
+	Addr string
+	path string // of its configuration
+	dir  string
+
+	// In this process:
+	term chan os.Signal
+	done chan error
+
+	// As a process of its own:
+	binary string
+	cmd    *exec.Cmd
+	log    lockedBuffer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// logMost bounds what is kept of a daemon's log.
+const logMost = 1 << 20
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.b.Len() < logMost {
+		l.b.Write(p)
+	}
+	return len(p), nil
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func (s *Site) files(listen string, seed uint64, features string) (*Daemon, error) {
+	dir, err := os.MkdirTemp("", "rig")
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{dir: dir, path: filepath.Join(dir, "config.json")}
+	if err := os.WriteFile(d.path, s.JSON(listen, seed), 0o600); err != nil {
+		return nil, err
+	}
+	return d, os.WriteFile(d.features(), []byte(features), 0o600)
+}
+
+func (d *Daemon) features() string { return filepath.Join(d.dir, "features.toml") }
+
+// StartDaemon runs a daemon within this process, on a port that the system picks.
+// features is the text of its features file.
+func (s *Site) StartDaemon(seed uint64, features string) (*Daemon, error) {
+	d, err := s.files("127.0.0.1:0", seed, features)
+	if err != nil {
+		return nil, err
+	}
+	d.term, d.done = make(chan os.Signal, 1), make(chan error, 1)
+	c, err := daemon.Load(func(name string) string {
+		return map[string]string{"BALANCER_CONFIG": d.path, "FAWN_FEATURES": d.features()}[name]
+	})
+	if err != nil {
+		os.RemoveAll(d.dir)
+		return nil, err
+	}
+	ready := make(chan string, 1)
+	go func() { d.done <- daemon.Run(c, d.term, nil, func(a net.Addr) { ready <- a.String() }) }()
+	select {
+	case d.Addr = <-ready:
+		return d, nil
+	case err := <-d.done:
+		os.RemoveAll(d.dir)
+		return nil, fmt.Errorf("rig: the daemon ended at once: %w", err)
+	}
+}
+
+// StartProcess runs a daemon's binary, on a loopback address that is free now.
+func (s *Site) StartProcess(binary string, seed uint64, features string) (*Daemon, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	d, err := s.files(addr, seed, features)
+	if err != nil {
+		return nil, err
+	}
+	d.Addr, d.binary = addr, binary
+	return d, d.Start()
+}
+
+// readyMost is how long a daemon's process may take to serve.
+const readyMost = 20 * time.Second
+
+// Start starts the process again after Kill or Stop, at its address, and waits until
+// it serves.
+func (d *Daemon) Start() error {
+	d.cmd = exec.Command(d.binary)
+	d.cmd.Env = []string{"BALANCER_CONFIG=" + d.path, "FAWN_FEATURES=" + d.features()}
+	d.cmd.Stderr = &d.log
+	if err := d.cmd.Start(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(readyMost); ; time.Sleep(5 * time.Millisecond) {
+		if c, err := net.Dial("tcp", d.Addr); err == nil {
+			c.Close()
+			return nil
+		}
+		if time.Now().After(end) {
+			d.Kill()
+			return fmt.Errorf("rig: the daemon does not serve; its log:\n%s", d.log.String())
+		}
+	}
+}
+
+// Kill ends the process with SIGKILL.
+func (d *Daemon) Kill() {
+	if d.cmd != nil && d.cmd.Process != nil {
+		d.cmd.Process.Kill()
+		d.cmd.Wait()
+		d.cmd = nil
+	}
+}
+
+// Stop ends the daemon as a planned restart does, and waits for it.
+func (d *Daemon) Stop() error {
+	if d.binary == "" {
+		d.term <- syscall.SIGTERM
+		err := <-d.done
+		os.RemoveAll(d.dir)
+		return err
+	}
+	if d.cmd == nil {
+		return nil
+	}
+	d.cmd.Process.Signal(syscall.SIGTERM)
+	err := d.cmd.Wait()
+	d.cmd = nil
+	return err
+}
+
+// Close ends what is left of it.
+func (d *Daemon) Close() {
+	d.Kill()
+	os.RemoveAll(d.dir)
+}
+
+// Log is what a process has written to standard error.
+func (d *Daemon) Log() string { return d.log.String() }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,43 @@
 	return s, nil
 }
 
+// New returns settings that a program states itself, with a name and a deadline for
+// each class of cfg. The rest is for the caller to set.
+func New(cfg chalkrack.Config, names []string, deadlines []time.Duration) (*Settings, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c := checker{}
+	seen := make(map[string]bool)
+	s := &Settings{Config: cfg, Deadlines: deadlines, classes: make(map[string]int)}
+	for n := range cfg.Classes {
+		at := fmt.Sprintf("Classes[%d].", n)
+		c.name(at+"Name", names[n], seen)
+		c.need(deadlines[n] > 0, at+"Deadline", "above 0")
+		s.classes[names[n]] = n
+	}
+	if c.err != nil {
+		return nil, fmt.Errorf("settings: %w", c.err)
+	}
+	return s, nil
+}
+
+// ClassOf is what is known of a class, nil if there is none of that name.
+func (s *Settings) ClassOf(name string) *chalkrack.Class {
+	if n := s.Class([]byte(name)); n >= 0 {
+		return &s.Config.Classes[n]
+	}
+	return nil
+}
+
+// Longest is the longest time that a client waits.
+func (s *Settings) Longest() (d time.Duration) {
+	for _, own := range s.Deadlines {
+		d = max(d, own)
+	}
+	return d
+}
+
 // usMost is the longest time in microseconds that a Duration holds.
 const usMost = math.MaxInt64 / int64(time.Microsecond)
 
@@ -169,6 +206,14 @@
 	}
 }
 
+// DeadlineOf is a class's own deadline, that of the longest for one unknown.
+func (s *Settings) DeadlineOf(name string) time.Duration {
+	if n := s.Class([]byte(name)); n >= 0 {
+		return s.Deadlines[n]
+	}
+	return max(s.Longest(), time.Second)
+}
+
 // ShortestAim is the shortest time within which a class of requests wants its answer.
 func (s *Settings) ShortestAim() time.Duration {
 	var d time.Duration
