--- a/client/client.go
+++ b/client/client.go
@@ -79,6 +79,7 @@
 		DrainGrace:       p.set.DrainGrace,
 		MostConns:        p.MaxConns,
 		Stall:            p.set.ShortestAim() / 2,
+		Lull:             p.Pause,
 		PassClientErrors: p.PassClientErrors,
 	})
 	t.nodes = p.known != nil || p.Discovery != ""
--- a/client/config.go
+++ b/client/config.go
@@ -96,6 +96,10 @@
 	ConnIdle time.Duration // servers close a connection that has been idle for so long; 0: 15 s
 	Dial     time.Duration // how long a connection may take to come up; 0: 1 s
 
+	// Pause is how long a long answer may say nothing once it has begun; 0: 400 ms. For
+	// streams whose servers speak now and then.
+	Pause time.Duration
+
 	// PassClientErrors hands a server's 4xx (but for 408 and 429) to the caller as the
 	// answer. Otherwise all but 200 are failed attempts, as the daemon has it.
 	PassClientErrors bool
@@ -161,6 +165,8 @@
 		return nil, errors.New("client: MaxBody must be 0 or more")
 	case c.ConnIdle < 0:
 		return nil, errors.New("client: ConnIdle must be 0 or more")
+	case c.Pause < 0:
+		return nil, errors.New("client: Pause must be 0 or more")
 	case c.Dial < 0:
 		return nil, errors.New("client: Dial must be 0 or more")
 	case len(p.Nodes) > 0 && p.Discovery != "":
--- a/client/link.go
+++ b/client/link.go
@@ -53,6 +53,7 @@
 			DialTimeout:      t.plan.set.DialTimeout,
 			DrainGrace:       time.Hour, // it never leaves
 			MostConns:        t.plan.MaxConns,
+			Lull:             t.plan.Pause,
 			PassClientErrors: true,
 		}),
 		start: time.Now().Add(-time.Second),
@@ -225,6 +226,12 @@
 	e := end{o: o}
 	if ans, _ := answer.(*message.Answer); ans != nil {
 		ans.Header.Del("Srv-Declined") // between tiers
+		switch ans.Status {            // the daemon's own words: servers' answers come as 200 and 4xx only
+		case http.StatusServiceUnavailable:
+			ans.Header.Set(VerdictField, "refused")
+		case http.StatusBadGateway:
+			ans.Header.Set(VerdictField, "failed")
+		}
 		e.resp = v.c.response(or(ans.Status, http.StatusOK), ans.Header, io.NopCloser(bytes.NewReader(ans.Body)), int64(len(ans.Body)))
 	}
 	v.tell(e)
--- a/client/link_test.go
+++ b/client/link_test.go
@@ -86,6 +86,9 @@
 				if got := (want{r.Verdict(), site.Ledger.ID("1").Attempts}); got != c.want[n] {
 					t.Errorf("%s: %+v (%+v), want %+v", class, got, r, c.want[n])
 				}
+				if v := r.Verdict(); v != "served" && r.Header.Get(VerdictField) != v {
+					t.Errorf("%s: %s is worded %q", class, v, r.Header.Get(VerdictField))
+				}
 				if c.before == nil && !c.big && d.Ledger().ID("1").Attempts != 1 {
 					t.Errorf("%s: %+v at the daemon", class, d.Ledger().ID("1"))
 				}
--- /dev/null
+++ b/cmd/fawnctl/main.go
@@ -0,0 +1,143 @@
+// Command fawnctl is the tool for people beside the sidecar: it checks settings and
+// shows what the sidecar does.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"chalkrack/internal/demo"
+	"chalkrack/internal/features"
+)
+
+type cli struct {
+	Check checkCmd `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
+	Demo  demoCmd  `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
+}
+
+// streams are what a command reads and writes.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+type checkCmd struct {
+	Files []string `arg:"" name:"file" help:"The files."`
+}
+
+var errBad = errors.New("not all is well")
+
+// Run says what is wrong with each file, a line a complaint.
+func (c *checkCmd) Run(s *streams) error {
+	bad := false
+	for _, path := range c.Files {
+		_, err := features.Read(path)
+		var problems features.Problems
+		switch {
+		case err == nil:
+			fmt.Fprintf(s.out, "%s: good\n", path)
+			continue
+		case errors.As(err, &problems):
+			for _, p := range problems {
+				fmt.Fprintln(s.err, p)
+			}
+		default:
+			fmt.Fprintln(s.err, err)
+		}
+		bad = true
+	}
+	if bad {
+		return errBad
+	}
+	return nil
+}
+
+type demoCmd struct {
+	Servers int           `default:"4" help:"How many servers."`
+	Rate    float64       `default:"100" help:"Calls a second."`
+	For     time.Duration `default:"20s" help:"How long it runs."`
+	Seed    uint64        `default:"1" help:"Of all chance in it."`
+	Script  string        `help:"What happens to servers: '2s freeze 3; 4s thaw 3', or @FILE. Verbs: freeze, thaw, kill, restart, drain, undrain."`
+	NoKeys  bool          `help:"Read no keys from standard input."`
+	Log     bool          `help:"Show the daemon's log."`
+}
+
+// Run runs a demonstration.
+func (c *demoCmd) Run(s *streams) error {
+	text := c.Script
+	if path, ok := strings.CutPrefix(text, "@"); ok {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		text = string(data)
+	}
+	steps, err := demo.ParseScript(text, c.Servers)
+	if err != nil {
+		return fmt.Errorf("--script: %w", err)
+	}
+	if !c.Log {
+		slog.SetDefault(slog.New(slog.DiscardHandler))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cfg := demo.Config{Servers: c.Servers, Rate: c.Rate, For: c.For, Seed: c.Seed, Script: steps, Out: s.out, Live: terminal(s.out)}
+	if !c.NoKeys && terminal(s.in) {
+		cfg.Keys = s.in
+	}
+	return demo.Run(ctx, cfg)
+}
+
+// terminal says whether a stream is one that somebody watches.
+func terminal(stream any) bool {
+	f, ok := stream.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0 && info.Name() != "null"
+}
+
+// run is the program; it returns its exit status.
+func run(args []string, s *streams) (status int) {
+	parser, err := kong.New(&cli{}, kong.Name("fawnctl"), kong.Description("The tool for people beside the sidecar."),
+		kong.Writers(s.out, s.err), kong.Bind(s), kong.UsageOnError(), kong.Exit(func(code int) { panic(exit(code)) }))
+	if err != nil {
+		fmt.Fprintln(s.err, "fawnctl:", err)
+		return 1
+	}
+	defer func() { // --help ends the program from within
+		if p := recover(); p != nil {
+			code, ok := p.(exit)
+			if !ok {
+				panic(p)
+			}
+			status = int(code)
+		}
+	}()
+	ctx, err := parser.Parse(args)
+	if err == nil {
+		if err = ctx.Run(); err == nil {
+			return 0
+		}
+		if errors.Is(err, errBad) {
+			return 1
+		}
+	}
+	fmt.Fprintln(s.err, "fawnctl:", err)
+	return 1
+}
+
+type exit int
+
+func main() { os.Exit(run(os.Args[1:], &streams{os.Stdin, os.Stdout, os.Stderr})) }
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -14,9 +14,9 @@
 
 // play runs a Machine from one due time to the next until it is back, with a daemon
 // that answers probes from a time on.
-func play(m *Machine, now, up time.Duration) (back time.Duration, probes int) {
+func play(m *Machine, up time.Duration) (back time.Duration, probes int) {
 	for {
-		now = m.Next()
+		now := m.Next()
 		probe, came := m.Due(now)
 		if came {
 			return now, probes
@@ -36,7 +36,7 @@
 	if !m.Lost(time.Second) || m.Lost(time.Second) || m.Here() {
 		t.Fatal("one loss is one take-over")
 	}
-	back, probes := play(m, time.Second, 11*time.Second)
+	back, probes := play(m, 11*time.Second)
 	if back < 11*time.Second || !m.Here() {
 		t.Errorf("back at %v", back)
 	}
@@ -53,7 +53,7 @@
 	for n := range uint64(callers) {
 		m := New(cfg(), rand.New(rand.NewPCG(n, 2)).Float64)
 		m.Lost(time.Second)
-		back, _ := play(m, time.Second, 3*time.Second)
+		back, _ := play(m, 3*time.Second)
 		at = append(at, back)
 	}
 	tenths := make(map[int]int)
@@ -75,7 +75,7 @@
 	var took []time.Duration
 	for range 7 {
 		m.Lost(now)
-		back, _ := play(m, now, now)
+		back, _ := play(m, now)
 		took = append(took, back-now)
 		now = back + time.Millisecond
 	}
@@ -89,7 +89,7 @@
 	}
 	now += time.Hour
 	m.Lost(now)
-	if back, _ := play(m, now, now); back-now > took[0]+time.Second {
+	if back, _ := play(m, now); back-now > took[0]+time.Second {
 		t.Errorf("after an hour: %v, at first %v", back-now, took[0])
 	}
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -40,6 +40,7 @@
 	lose     int // so many further changes are told to nobody who watches
 	down     bool
 	beat     time.Duration
+	conns    map[net.Conn]struct{}
 	watchers map[*watcher]struct{}
 	watched  int
 	handlers sync.WaitGroup
@@ -59,7 +60,7 @@
 
 // NewDiscovery starts a discovery on a loopback port that the system picks.
 func NewDiscovery(list ...Endpoint) (*Discovery, error) {
-	d := &Discovery{index: 1, list: slices.Clone(list), beat: 2 * time.Second, watchers: make(map[*watcher]struct{})}
+	d := &Discovery{index: 1, list: slices.Clone(list), beat: 2 * time.Second, conns: make(map[net.Conn]struct{}), watchers: make(map[*watcher]struct{})}
 	if err := d.Move(); err != nil {
 		return nil, err
 	}
@@ -95,10 +96,18 @@
 			if err != nil {
 				return
 			}
+			d.mu.Lock()
+			d.conns[c] = struct{}{}
+			d.mu.Unlock()
 			d.handlers.Add(1)
 			go func() {
 				defer d.handlers.Done()
-				defer c.Close()
+				defer func() {
+					d.mu.Lock()
+					delete(d.conns, c)
+					d.mu.Unlock()
+					c.Close()
+				}()
 				d.serve(c)
 			}()
 		}
@@ -205,8 +214,11 @@
 func (d *Discovery) Close() {
 	d.mu.Lock()
 	d.ln.Close()
+	d.down = true
+	for c := range d.conns {
+		c.Close()
+	}
 	d.mu.Unlock()
-	d.Break()
 	d.handlers.Wait()
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,6 +20,7 @@
 	DrainGrace  time.Duration
 	MostConns   int           // connections at once, those being dialled included
 	Stall       time.Duration // what an answer may pause before it is passed on; 0: stallMost
+	Lull        time.Duration // what one may pause that is being passed on; 0: stallMost
 	// PassClientErrors takes an answer of 4xx (but for 408 and 429) as the server's
 	// answer to the request, not as a failed attempt.
 	PassClientErrors bool
@@ -80,6 +81,9 @@
 func New(cfg Config) *Pool {
 	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost, lull: stallMost, hold: commitAfter}
 	p.idleMost = p.idleCap()
+	if cfg.Lull > 0 {
+		p.lull = cfg.Lull
+	}
 	if cfg.Stall > 0 {
 		p.stall = max(stallLeast, min(cfg.Stall, stallMost))
 	}
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Everything that must hold before a change lands: format, vet, staticcheck,
-# the tests under the race detector, and the build that operators run.
+# Everything that must hold before a change lands, in each module: format, vet,
+# staticcheck, the tests under the race detector; and the build that operators run.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -9,10 +9,15 @@
 	echo "not gofmt'd: $unformatted" >&2
 	exit 1
 fi
-go vet ./...
-go run honnef.co/go/tools/cmd/staticcheck@v0.7.0 ./...
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 test -n "$build"
 sh -c "$build"
 test -x bin/drill
-go test -race -count=1 ./...
+for module in . rpc/connect; do
+	(
+		cd "$module"
+		go vet ./...
+		go run honnef.co/go/tools/cmd/staticcheck@v0.7.0 ./...
+		go test -race -count=1 ./...
+	)
+done
