Break a long answer off at its transport when its caller leaves or closes

A caller that closed a long answer, or whose context ended, waited for the next byte of a server that said nothing: with long pauses allowed, Close of the plug-in hung for as long. Found by a test whose server stops half way.

The core hands a caller that streams the means to break its attempt off; the plug-in uses it on Close, at the context's end and when the body is closed before its end. An answer read to its end leaves its connection for the next.

--- a/client/call.go
+++ b/client/call.go
@@ -176,8 +176,8 @@
 func (c *call) Release() {}
 
 // Stream implements core.Caller.
-func (c *call) Stream(answer any) core.Stream {
-	s, resp := c.stream(answer.(*message.Answer))
+func (c *call) Stream(answer any, abort func()) core.Stream {
+	s, resp := c.stream(answer.(*message.Answer), abort)
 	c.answers <- resp
 	return s
 }
@@ -221,23 +221,55 @@
 // for the other. It ends with the caller's Close, with the context and with the
 // Transport's Close at the latest.
 type stream struct {
-	c    *call
-	pipe *io.PipeWriter
-	stop func() bool
-	left int64 // -1: not stated
+	c     *call
+	pipe  *io.PipeWriter
+	abort func()
+	stop  func() bool
+	left  int64 // -1: not stated
 }
 
-func (c *call) stream(ans *message.Answer) (*stream, *http.Response) {
+// breakOff ends a long answer from the caller's side. Guards against a server that says
+// nothing: its transport would notice only with the next byte.
+func (s *stream) breakOff(err error) {
+	s.pipe.CloseWithError(err)
+	s.abort()
+}
+
+// streamBody is the caller's end.
+type streamBody struct {
+	*io.PipeReader
+	s     *stream
+	whole bool
+}
+
+// Read implements io.Reader.
+func (b *streamBody) Read(p []byte) (int, error) {
+	n, err := b.PipeReader.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
+}
+
+// Close implements io.Closer. The connection of an answer that was read to its end
+// goes on.
+func (b *streamBody) Close() error {
+	err := b.PipeReader.Close()
+	if !b.whole {
+		b.s.abort()
+	}
+	return err
+}
+
+func (c *call) stream(ans *message.Answer, abort func()) (*stream, *http.Response) {
 	pr, pw := io.Pipe()
-	s := &stream{c: c, pipe: pw, left: ans.Length}
+	s := &stream{c: c, pipe: pw, abort: abort, left: ans.Length}
 	ctx := c.r.Context()
-	s.stop = context.AfterFunc(ctx, func() { pw.CloseWithError(ctx.Err()) })
+	s.stop = context.AfterFunc(ctx, func() { s.breakOff(ctx.Err()) })
 	t := c.t
 	t.mu.Lock()
 	t.busy++
 	t.streams[s] = struct{}{}
 	t.mu.Unlock()
-	return s, c.response(or(ans.Status, http.StatusOK), ans.Header, pr, ans.Length)
+	return s, c.response(or(ans.Status, http.StatusOK), ans.Header, &streamBody{PipeReader: pr, s: s}, ans.Length)
 }
 
 // Write implements core.Stream.
--- a/client/client.go
+++ b/client/client.go
@@ -238,7 +238,7 @@
 		}
 		t.mu.Unlock()
 		for _, s := range broken {
-			s.pipe.CloseWithError(ErrClosed)
+			s.breakOff(ErrClosed)
 		}
 		<-t.idle
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -204,6 +204,32 @@
 	settle(t, "still busy", func() bool { tr.mu.Lock(); defer tr.mu.Unlock(); return tr.busy == 0 && len(tr.streams) == 0 })
 }
 
+// A caller that closes a long answer ends it, however long its server says nothing; one
+// that has read it to its end leaves the connection for the next call.
+func TestCloseLongAnswer(t *testing.T) {
+	kind := standin.StopBody
+	site := newSite(t, rig.SiteConfig{Servers: 1, Server: standin.ServerConfig{Script: func(standin.Request) standin.Act {
+		return standin.Act{Kind: kind, Body: strings.Repeat("x", 100<<10)}
+	}}})
+	tr := newTransport(t, Config{Classes: threeClasses(), Nodes: nodes(site), Pause: time.Hour})
+	resp, err := tr.RoundTrip(request(context.Background(), askOf("activate", "1")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	settle(t, "its connection stays", func() bool { return tr.pool.Conns() == 0 })
+	kind = standin.Serve
+	for n := range 3 {
+		if r := ask(context.Background(), tr, askOf("activate", fmt.Sprint("whole", n))); r.Status != 200 {
+			t.Errorf("%+v", r)
+		}
+		settle(t, "still busy", func() bool { tr.mu.Lock(); defer tr.mu.Unlock(); return tr.busy == 0 })
+	}
+	if n := site.Servers[0].Opened(); n != 2 {
+		t.Errorf("%d connections for 4 calls, one of them closed", n)
+	}
+}
+
 // The caller leaves in every state of a call: nothing is left of it, and a Transport
 // that is closed leaves nothing at all.
 func TestCallerLeaves(t *testing.T) {
@@ -235,7 +261,7 @@
 				t.Fatal(err)
 			}
 			defer site.Close()
-			cfg := Config{Classes: threeClasses(), Nodes: nodes(site), MaxBody: 64 << 20}
+			cfg := Config{Classes: threeClasses(), Nodes: nodes(site), MaxBody: 64 << 20, Pause: time.Hour}
 			if c.daemon {
 				cfg.Daemon = site.Servers[0].Addr()
 			}
@@ -322,7 +348,7 @@
 	}
 	defer site.Close()
 	for _, daemon := range []bool{false, true} {
-		cfg := Config{Classes: threeClasses(), Nodes: nodes(site)}
+		cfg := Config{Classes: threeClasses(), Nodes: nodes(site), Pause: time.Hour} // nothing but Close ends a long answer
 		if daemon {
 			cfg.Daemon = site.Servers[0].Addr()
 		}
@@ -365,7 +391,7 @@
 		if err := tr.Close(ctx); !errors.Is(err, context.Canceled) {
 			t.Errorf("broken off: %v", err)
 		}
-		if r := <-replies; !errors.Is(r.Err, ErrClosed) && !errors.Is(r.Err, io.ErrUnexpectedEOF) {
+		if r := <-replies; !errors.Is(r.Err, ErrClosed) {
 			t.Errorf("what was broken off: %v", r.Err)
 		}
 
--- a/client/link.go
+++ b/client/link.go
@@ -167,6 +167,7 @@
 // via is one call's attempt at the daemon.
 type via struct {
 	c    *call
+	a    core.Attempt
 	ends chan end // holds the first one
 	s    *stream  // the transport's goroutine's own
 
@@ -211,7 +212,10 @@
 
 // Stream implements core.Sink.
 func (v *via) Stream(answer any, _ chalkrack.Report) io.Writer {
-	s, resp := v.c.stream(answer.(*message.Answer))
+	s, resp := v.c.stream(answer.(*message.Answer), func() {
+		v.a.Abandon()
+		v.a.Close()
+	})
 	v.s = s
 	v.tell(end{chalkrack.OK, resp})
 	return s
@@ -255,11 +259,11 @@
 	deadline := c.Received.Add(wait)
 	v := &via{c: c, ends: make(chan end, 1)}
 	began := time.Now()
-	a := l.pool.Attempt(core.Order{Payload: msg, Server: daemonName, Deadline: deadline, Once: c.class.Effect == chalkrack.Unsafe, Sink: v})
-	a.Start()
+	v.a = l.pool.Attempt(core.Order{Payload: msg, Server: daemonName, Deadline: deadline, Once: c.class.Effect == chalkrack.Unsafe, Sink: v})
+	v.a.Start()
 	giveUp := func() *http.Response {
-		a.Abandon()
-		a.Close()
+		v.a.Abandon()
+		v.a.Close()
 		return v.leave()
 	}
 	drop := func(err error) (*http.Response, error, bool) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,8 +27,10 @@
 	Refuse(retryAfter time.Duration, unsent bool)
 	// Fail says that the call failed, and may have run.
 	Fail()
-	// Stream begins a long answer. The transport writes the rest and ends it.
-	Stream(answer any) Stream
+	// Stream begins a long answer. The transport writes the rest and ends it. abort
+	// breaks it off at the transport, which ends it then: for a caller that leaves
+	// while the server says nothing. It must not be called from within Stream.
+	Stream(answer any, abort func()) Stream
 	Release()
 }
 
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -421,7 +421,7 @@
 		}
 		a.done, q.over = true, true
 		q.out--
-		a.stream = q.c.Caller.Stream(answer)
+		a.stream = q.c.Caller.Stream(answer, a.abort)
 		w = a.stream
 		defer a.host.forget(q)
 		a.host.b.Done(now, q.id, a.n, chalkrack.OK, true, rep)
@@ -429,6 +429,12 @@
 	return w
 }
 
+// abort breaks a long answer off.
+func (a *attempt) abort() {
+	a.send.Abandon()
+	a.send.Close()
+}
+
 // Done implements Sink.
 func (a *attempt) Done(o chalkrack.Outcome, answer any, rep chalkrack.Report) {
 	if a.stream != nil {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -215,8 +215,8 @@
 	left    int64
 }
 
-// Stream implements core.Caller; the answer, a *message.Answer, holds the beginning.
-func (x *Exchange) Stream(answer any) core.Stream {
+// Stream implements core.Caller. That a client has left shows when it is written to. The answer, a *message.Answer, holds the beginning.
+func (x *Exchange) Stream(answer any, _ func()) core.Stream {
 	ans := answer.(*message.Answer)
 	w := &Stream{x: x, left: ans.Length}
 	x.keep = x.keep && !x.conn.srv.closing()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -473,7 +473,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			_, _, dial := start(t, Config{}, func(x *Exchange) {
-				w := x.Stream(&message.Answer{Length: c.length})
+				w := x.Stream(&message.Answer{Length: c.length}, nil)
 				io.WriteString(w, "he")
 				io.WriteString(w, "llo")
 				w.End(c.end)
