Stand-ins that restart listen where no outgoing connection can take their port

A server or daemon that restarts in a test binds its port again; a connection that went out meanwhile could hold that port as its own, and the test would fail now and then. They listen on 127.0.0.2 now, which no connection starts from.

--- a/client/bench_test.go
+++ b/client/bench_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"syscall"
 	"testing"
@@ -79,3 +80,41 @@
 		})
 	}
 }
+
+// BenchmarkDaemonCPU is the CPU of the daemon's process for a call, its start and end
+// taken off. DAEMON names another binary, of another tree, to hold it against.
+func BenchmarkDaemonCPU(b *testing.B) {
+	path := os.Getenv("DAEMON")
+	if path == "" {
+		var err error
+		if path, err = binary(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	cs := classes(5 * time.Second)
+	site := newSite(b, rig.SiteConfig{Classes: cs, Servers: 4, NoHedge: true})
+	run := func(calls int) time.Duration {
+		d, err := site.StartProcess(path, 1, "")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer d.Close()
+		c := standin.NewClient(d.Addr)
+		defer c.Close()
+		m := mix(1, cs)
+		for range calls {
+			if r := c.Do(context.Background(), m.Next()); r.Status != 200 {
+				b.Fatalf("%+v", r)
+			}
+		}
+		if err := d.Stop(); err != nil {
+			b.Fatal(err)
+		}
+		return d.CPU()
+	}
+	const calls = 10000
+	for b.Loop() {
+		idle := run(0)
+		b.ReportMetric(float64((run(calls)-idle).Microseconds())/calls, "cpu-us/call")
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -165,6 +165,7 @@
 	// As a process of its own:
 	binary string
 	cmd    *exec.Cmd
+	cpu    time.Duration
 	log    lockedBuffer
 }
 
@@ -231,9 +232,10 @@
 	}
 }
 
-// StartProcess runs a daemon's binary, on a loopback address that is free now.
+// StartProcess runs a daemon's binary, on a loopback address that is free now, and that
+// no connection which goes out from 127.0.0.1 can take while it restarts.
 func (s *Site) StartProcess(binary string, seed uint64, features string) (*Daemon, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", "127.0.0.2:0")
 	if err != nil {
 		return nil, err
 	}
@@ -293,6 +295,7 @@
 	}
 	d.cmd.Process.Signal(syscall.SIGTERM)
 	err := d.cmd.Wait()
+	d.cpu = d.cmd.ProcessState.UserTime() + d.cmd.ProcessState.SystemTime()
 	d.cmd = nil
 	return err
 }
@@ -303,5 +306,8 @@
 	os.RemoveAll(d.dir)
 }
 
+// CPU is what the process had used when it ended last; 0 while it has not.
+func (d *Daemon) CPU() time.Duration { return d.cpu }
+
 // Log is what a process has written to standard error.
 func (d *Daemon) Log() string { return d.log.String() }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -48,6 +48,10 @@
 	handlers sync.WaitGroup
 }
 
+// restartable is where what may restart listens: no connection that goes out from
+// 127.0.0.1 can take its port meanwhile.
+const restartable = "127.0.0.2:0"
+
 // NewServer starts a server on a loopback port that the system picks.
 func NewServer(cfg ServerConfig) (*Server, error) {
 	if cfg.Ledger == nil {
@@ -58,7 +62,7 @@
 	}
 	s := &Server{cfg: cfg, script: cfg.Script, conns: make(map[net.Conn]struct{}), thaw: make(chan struct{})}
 	close(s.thaw)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", restartable)
 	if err != nil {
 		return nil, fmt.Errorf("standin: %w", err)
 	}
