--- a/client/client_test.go
+++ b/client/client_test.go
@@ -216,6 +216,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, 100<<10)); err != nil { // all that ever comes
+		t.Fatal(err)
+	}
 	resp.Body.Close()
 	settle(t, "its connection stays", func() bool { return tr.pool.Conns() == 0 })
 	kind = standin.Serve
