--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -168,11 +168,7 @@
 		conn := c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
 		c.mu.Unlock()
-		conn.SetReadDeadline(time.Now().Add(time.Millisecond / 10))
-		_, err := conn.br.Peek(1)
-		conn.SetReadDeadline(time.Time{})
-		var ne net.Error
-		if errors.As(err, &ne) && ne.Timeout() {
+		if conn.quiet() {
 			return conn, nil
 		}
 		conn.Close()
@@ -185,6 +181,28 @@
 	return &clientConn{nc, bufio.NewReader(nc)}, nil
 }
 
+// quiet says that nothing has come on a connection since its last answer, nor its end.
+func (c *clientConn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	tc, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = rerr == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
+
 // Close closes the kept connections.
 func (c *Client) Close() {
 	c.mu.Lock()
