--- a/balancer.go
+++ b/balancer.go
@@ -150,6 +150,7 @@
 	// Attempts lowers Config.MaxAttempts; 0: it does not. With 1 a tier before this
 	// one decides: the request earns no budget here and spends none.
 	Attempts int
+	Only     string // the one server that may take it; empty: any
 }
 
 // Outcome is how an attempt ended.
@@ -405,6 +406,9 @@
 		return false
 	}
 	may := func(s *server) bool {
+		if q.Only != "" && q.Only != s.name {
+			return false
+		}
 		for i := range q.attempts {
 			if q.attempts[i].to == s {
 				return false
--- a/client/bench_test.go
+++ b/client/bench_test.go
@@ -112,7 +112,7 @@
 		}
 		return d.CPU()
 	}
-	const calls = 10000
+	const calls = 40000
 	for b.Loop() {
 		idle := run(0)
 		b.ReportMetric(float64((run(calls)-idle).Microseconds())/calls, "cpu-us/call")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,7 +57,7 @@
 	state *call
 }
 
-// Limits is what a tier before this one leaves of a call.
+// Limits is what a tier before this one leaves of a call, or its front.
 type Limits struct {
 	// Attempts is how many attempts may be made at most; 0: as many as the settings
 	// allow. 1 also says that the tier before decides on the call: it gets that
@@ -65,6 +65,7 @@
 	Attempts int
 	Mark     string    // with Attempts at 1: names this attempt of the tier before; empty: it comes once
 	NotAfter time.Time // no attempt begins later; zero: no such end
+	Only     string    // the one server that may take it; empty: any
 }
 
 // Order is what a transport is told of one attempt.
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -201,6 +201,7 @@
 			Key:      c.Key,
 			Deadline: deadline,
 			Attempts: limits.Attempts,
+			Only:     limits.Only,
 		})
 	})
 }
--- a/internal/features/decode.go
+++ b/internal/features/decode.go
@@ -20,8 +20,10 @@
 // line is that of a field, or of the nearest table round it.
 func (i index) line(field string) int {
 	for field != "" {
-		if n, ok := i[field]; ok {
-			return n
+		for _, name := range []string{field, field + "[0]"} {
+			if n, ok := i[name]; ok {
+				return n
+			}
 		}
 		cut := strings.LastIndexAny(field, ".[")
 		if cut < 0 {
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -24,6 +24,8 @@
 	// Paths has the class of requests to exact paths, for clients whose paths do not
 	// begin with their class.
 	Paths map[string]string `toml:"paths"`
+	// Radius takes counter terminals.
+	Radius Radius `toml:"radius"`
 
 	name  string
 	lines index
@@ -37,7 +39,7 @@
 }
 
 // Default is a file that says nothing.
-func Default() *File { return &File{Version: Version} }
+func Default() *File { return &File{Version: Version, Radius: radiusDefault()} }
 
 // Problem is one complaint about a file.
 type Problem struct {
@@ -111,6 +113,7 @@
 		c.need(strings.HasPrefix(path, "/"), "paths."+path, "the path must begin with '/'")
 		c.need(f.Paths[path] != "", "paths."+path, "names no class")
 	}
+	f.Radius.check(c)
 }
 
 // CheckClasses says which classes are named that the platform's settings do not have.
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -1,6 +1,7 @@
 package features
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -38,6 +39,66 @@
 	}
 }
 
+// Each field of [radius] that can't be used is named, with its line, and no complaint
+// shows a secret.
+func TestRadius(t *testing.T) {
+	good := `[radius]
+enabled = true
+auth = "127.0.0.1:1812"
+acct = "127.0.0.1:1813"
+[[radius.clients]]
+range = "10.0.0.0/8"
+secret = "hush-client"
+[[radius.clients]]
+range = "10.1.2.3"
+secret = "hush-other"
+[[radius.servers]]
+name = "r1"
+auth = "127.0.0.1:1"
+acct = "127.0.0.1:2"
+secret = "hush-server"
+[radius.access]
+aim = "1s"
+[radius.accounting]
+resends = 3
+`
+	f, err := Parse("f.toml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text := fmt.Sprintf("%v %+v %#v %v", f.Radius, f.Radius, f.Radius, f.Radius.Clients); strings.Contains(text, "hush") {
+		t.Errorf("a secret shows: %s", text)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`auth = "127.0.0.1:1812"`, `auth = "here"`, "f.toml:3: radius.auth: "},
+		{`range = "10.0.0.0/8"`, `range = "10.0.0.0/40"`, "f.toml:6: radius.clients[0].range: "},
+		{`range = "10.1.2.3"`, `range = "10.9.9.9/8"`, "f.toml:9: radius.clients[1].range: is there twice"},
+		{`secret = "hush-other"`, ``, "f.toml:8: radius.clients[1].secret: is not set"},
+		{`secret = "hush-other"`, `secret = "hush"` + "\nsecret_file = \"x\"", "f.toml:10: radius.clients[1].secret: and secret_file"},
+		{`secret = "hush-other"`, `secret_file = "nowhere"`, "f.toml:10: radius.clients[1].secret_file: can't be read"},
+		{`secret = "hush-other"`, `secret = 77001`, "f.toml:10: radius.clients"},
+		{`name = "r1"`, `name = ""`, "f.toml:12: radius.servers[0].name: "},
+		{`acct = "127.0.0.1:2"`, ``, "f.toml:11: radius.servers: none takes accounting"},
+		{`aim = "1s"`, `aim = "1h"`, "f.toml:17: radius.access.aim: "},
+		{`aim = "1s"`, `aim = "soon"`, "f.toml:17: radius.access.aim: "},
+		{`aim = "1s"`, `effect = "maybe"`, "f.toml:17: radius.access.effect: "},
+		{`resends = 3`, `resends = 99`, "f.toml:19: radius.accounting.resends: "},
+		{`resends = 3`, `effect = "safe"`, "f.toml:19: radius.accounting.effect: must be once"},
+		{`enabled = true`, "enabled = true\nattempts = 6", "f.toml:3: radius.attempts: "},
+		{`enabled = true`, "enabled = true\nsockets = 0", "f.toml:3: radius.sockets: "},
+		{`enabled = true`, "enabled = true\nremember_bytes_each = 1", "f.toml:3: radius.remember_bytes_each: "},
+		{`enabled = true`, "enabled = true\non_give_up = \"wait\"", "f.toml:3: radius.on_give_up: "},
+		{`enabled = true`, "enabled = true\nprobe_every = \"1ms\"", "f.toml:3: radius.probe_every: "},
+		{`enabled = true`, "enabled = true\nauth_discovery = \"127.0.0.1:1\"\ndiscovery_secret = \"hush\"", "f.toml:13: radius.servers: stands beside"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		_, err := Parse("f.toml", []byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "hush") || strings.Contains(err.Error(), "77001") {
+			t.Errorf("%q: %v, want %q", c.new, err, c.want)
+		}
+	}
+}
+
 func TestClasses(t *testing.T) {
 	f, err := Parse("f.toml", []byte("[paths]\n\"/x\" = \"a\"\n\"/y\" = \"nowhere\"\n"))
 	if err != nil {
@@ -59,7 +120,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(f.Paths) > 0 || f.Answers != (Answers{}) {
+	if len(f.Paths) > 0 || f.Answers != (Answers{}) || f.Radius.Enabled {
 		t.Errorf("something is on: %+v", f)
 	}
 	text, err := os.ReadFile(path)
@@ -73,7 +134,7 @@
 		}
 		all = append(all, line)
 	}
-	if f, err = Parse("examples", []byte(strings.Join(all, ""))); err != nil || len(f.Paths) == 0 {
+	if f, err = Parse("examples", []byte(strings.Join(all, ""))); err != nil || len(f.Paths) == 0 || !f.Radius.Enabled {
 		t.Errorf("its examples: %v, %+v", err, f)
 	}
 	if _, err := Read(filepath.Join(t.TempDir(), "none")); err == nil {
--- a/internal/radius/proxy.go
+++ b/internal/radius/proxy.go
@@ -25,7 +25,7 @@
 			err = out.Add(t, value)
 		}
 	}
-	if p.Code == AccessRequest || p.Get(MessageAuthenticator) != nil {
+	if p.Code != AccountingRequest || p.Get(MessageAuthenticator) != nil {
 		add(MessageAuthenticator, make([]byte, 16))
 	}
 	challenge := p.Get(CHAPChallenge) != nil
@@ -47,7 +47,9 @@
 			add(t, value)
 		}
 	}
-	add(ProxyState, state)
+	if p.Code != StatusServer { // it belongs to one hop (RFC 5997 section 3)
+		add(ProxyState, state)
+	}
 	if err != nil {
 		return nil, Hop{}, err
 	}
@@ -105,7 +107,7 @@
 			add(t, value)
 		}
 	}
-	if !own {
+	if !own && request.Code != StatusServer {
 		return nil, ErrProxyState
 	}
 	for t, value := range request.All {
--- a/internal/radius/radius_test.go
+++ b/internal/radius/radius_test.go
@@ -327,7 +327,7 @@
 		p.VerifyAnswer(secret, Authenticator{}, true)
 		hop := Hop{secret, p.Authenticator}
 		if out, _, err := Forward(p, hop, []byte("t"), 1, Authenticator{2}, []byte("state")); err == nil {
-			if q, err := Parse(out.Marshal()); err != nil || out.Code != StatusServer && q.VerifyRequest([]byte("t"), true) != nil {
+			if q, err := Parse(out.Marshal()); err != nil || q.VerifyRequest([]byte("t"), true) != nil {
 				t.Fatalf("sent on as %x: %v", out.Marshal(), err)
 			}
 		}
--- a/internal/radius/replies/replies.go
+++ b/internal/radius/replies/replies.go
@@ -32,6 +32,7 @@
 	Keep       time.Duration // after the answer
 	Bytes      int           // of all entries
 	EachClient int           // of one client's
+	Open       int           // calls of one client under way at once
 }
 
 // overhead is what an entry costs beside its answer and its event, in bytes: the two
@@ -50,7 +51,7 @@
 	Answered
 	// Ended repeats one that ended without answer. It was given up: what comes now is
 	// the client's own retry, and is to be made as a new call: the Table has made
-	// place for it, as for New.
+	// place for it, as for New, and it has the Memo of the one before.
 	Ended
 	// Full says that there is no room: the packet is dropped.
 	Full
@@ -58,7 +59,8 @@
 
 // Call is an entry of the Table. Its owner may hang what it needs on it.
 type Call struct {
-	State any
+	State any    // while it is under way
+	Memo  string // what its retry must know; kept after its end too
 
 	key      Key
 	event    string // empty: none
@@ -75,8 +77,8 @@
 type client struct {
 	addr  netip.Addr
 	size  int
-	done  *list.List // of *Call, the first answered first
-	calls int
+	done  *list.List // of *Call, the first ended first
+	calls int        // those that have ended included
 }
 
 // Table is what is remembered.
@@ -105,7 +107,7 @@
 	if c == nil && event != "" {
 		c = t.byEvent[event]
 	}
-	verdict := New
+	verdict, memo := New, ""
 	if c != nil {
 		switch {
 		case !c.done:
@@ -114,18 +116,18 @@
 			return c, Answered
 		}
 		t.drop(c)
-		verdict = Ended
+		verdict, memo = Ended, c.Memo
 	}
 	size := overhead + len(event)
 	cl := t.clients[key.Client]
 	if cl == nil {
 		cl = &client{addr: key.Client, done: list.New()}
 	}
-	if !t.makeRoom(cl, size) {
+	if cl.calls-cl.done.Len() >= t.cfg.Open || !t.makeRoom(cl, size) {
 		return nil, Full
 	}
 	t.clients[key.Client] = cl
-	c = &Call{key: key, event: event, client: cl, size: size}
+	c = &Call{Memo: memo, key: key, event: event, client: cl, size: size}
 	t.byKey[key] = c
 	if event != "" {
 		t.byEvent[event] = c
@@ -155,6 +157,9 @@
 	}
 }
 
+// Under says whether a call is known by that key; if not, its event brought it.
+func (c *Call) Under(key Key) bool { return c.key == key }
+
 // Answer is what answered a call.
 func (c *Call) Answer() []byte { return c.answer }
 
--- a/internal/radius/replies/replies_test.go
+++ b/internal/radius/replies/replies_test.go
@@ -10,7 +10,9 @@
 	"pgregory.net/rapid"
 )
 
-func cfg() Config { return Config{Keep: 10 * time.Second, Bytes: 1 << 20, EachClient: 1 << 18} }
+func cfg() Config {
+	return Config{Keep: 10 * time.Second, Bytes: 1 << 20, EachClient: 1 << 18, Open: 1000}
+}
 
 func key(client, id int) Key {
 	return Key{Client: netip.AddrFrom4([4]byte{127, 0, byte(client >> 8), byte(client)}), Code: 1, ID: byte(id), Authenticator: [16]byte{byte(id >> 8), byte(id >> 16)}}
@@ -67,10 +69,11 @@
 func TestGivenUp(t *testing.T) {
 	tb := NewTable(cfg())
 	c, _ := tb.Arrive(0, key(1, 1), "e")
+	c.Memo = "may have run at s1"
 	tb.End(1, c, nil)
 	again, v := tb.Arrive(2, key(1, 1), "e")
-	if want(t, "its repeat", v, Ended); again == c {
-		t.Error("the call that has ended")
+	if want(t, "its repeat", v, Ended); again == c || again.Memo != c.Memo {
+		t.Error("the call that has ended, or nothing is known of it")
 	}
 	_, v = tb.Arrive(3, key(1, 1), "e")
 	want(t, "the repeat's repeat", v, Joined)
@@ -85,7 +88,7 @@
 // A flood from one client takes its own room only: others' answers stay, and their
 // calls are taken.
 func TestFlood(t *testing.T) {
-	c := Config{Keep: time.Hour, Bytes: 100 * overhead, EachClient: 20 * overhead}
+	c := Config{Keep: time.Hour, Bytes: 100 * overhead, EachClient: 20 * overhead, Open: 1000}
 	tb := NewTable(c)
 	quiet, _ := tb.Arrive(0, key(1, 1), "")
 	tb.End(0, quiet, []byte("x"))
@@ -115,9 +118,31 @@
 	want(t, "a new client's call", v, New)
 }
 
+// One client has so many calls under way and no more.
+func TestOpen(t *testing.T) {
+	c := cfg()
+	c.Open = 3
+	tb := NewTable(c)
+	var last *Call
+	for n := range 5 {
+		call, v := tb.Arrive(0, key(1, n), "")
+		if n < 3 != (v == New) {
+			t.Errorf("call %d: %d", n, v)
+		}
+		if call != nil {
+			last = call
+		}
+	}
+	_, v := tb.Arrive(0, key(2, 1), "")
+	want(t, "another client", v, New)
+	tb.End(0, last, nil)
+	_, v = tb.Arrive(0, key(1, 9), "")
+	want(t, "after one has ended", v, New)
+}
+
 // An answer larger than there is room for is not remembered, and nothing else is lost.
 func TestHugeAnswer(t *testing.T) {
-	tb := NewTable(Config{Keep: time.Hour, Bytes: 1 << 20, EachClient: 3 * overhead})
+	tb := NewTable(Config{Keep: time.Hour, Bytes: 1 << 20, EachClient: 3 * overhead, Open: 1000})
 	c, _ := tb.Arrive(0, key(1, 1), "")
 	tb.End(0, c, make([]byte, 4*overhead))
 	if tb.Len() != 0 || tb.Size() != 0 {
@@ -128,7 +153,7 @@
 // In any order the sums are right, the bounds kept, and a call is never two.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Config{Keep: 5 * time.Second, Bytes: 12 * overhead, EachClient: 5 * overhead}
+		c := Config{Keep: 5 * time.Second, Bytes: 12 * overhead, EachClient: 5 * overhead, Open: 4}
 		tb := NewTable(c)
 		now := time.Duration(0)
 		under := make(map[Key]*Call)
@@ -179,7 +204,7 @@
 		return int(m.HeapAlloc)
 	}
 	before := heap()
-	tb := NewTable(Config{Keep: time.Hour, Bytes: 1 << 30, EachClient: 1 << 30})
+	tb := NewTable(Config{Keep: time.Hour, Bytes: 1 << 30, EachClient: 1 << 30, Open: 1 << 30})
 	const many = 10000
 	for n := range many {
 		c, _ := tb.Arrive(0, key(n, n), fmt.Sprintf("nas-%d session-%08d stop", n, n))
--- /dev/null
+++ b/internal/radius/transport/transport.go
@@ -0,0 +1,422 @@
+// Package transport carries RADIUS attempts to servers over UDP, for the core. An
+// attempt is one exchange with one server: one packet, under one identifier and one
+// authenticator. Where the settings say so the very same packet is sent again, to the
+// same server, from the same socket, until its answer comes; a server knows such
+// packets for duplicates and runs them once (RFC 5080 section 2.2.2).
+//
+// What has run:
+//
+//	what comes back                               outcome         has it run?
+//	a verified answer                             OK              yes
+//	nothing, until the patience is over           timed out       it may have, or may yet
+//	for each packet sent, a refusal of the port   could not connect  never
+//	no identifier, no socket left                 not sent        never
+//
+// A packet that can't be verified, or comes from elsewhere, is dropped and counted; the
+// attempt waits on.
+package transport
+
+import (
+	"crypto/rand"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/core"
+	"chalkrack/internal/radius"
+	"chalkrack/internal/radius/ident"
+)
+
+// Config is what a Transport is told.
+type Config struct {
+	Secret   func(server string) []byte // of a server; nil: it has none and gets nothing
+	Sockets  int                        // of each server at most, each for 256 attempts
+	Rest     time.Duration              // how long a late answer may come
+	Patience time.Duration              // how long an attempt waits for its answer
+	Resend   time.Duration              // after how long a packet is sent again; doubled each time
+	Resends  int                        // how often at most
+	// Unsigned takes answers to access without Message-Authenticator: whoever is on the
+	// way can forge them (CVE-2024-3596).
+	Unsigned bool
+	Grace    time.Duration // after which nothing new goes to a server that has left
+}
+
+// Request is the payload of a call: a request as it came, and the hop that it came by.
+type Request struct {
+	Packet *radius.Packet
+	From   radius.Hop
+
+	mu   sync.Mutex
+	sent string // the server that got a packet of it last
+}
+
+// SentTo is the server that got a packet of it last, empty if none did.
+func (r *Request) SentTo() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent
+}
+
+// Answer is a server's answer, as the client's hop is to have it.
+type Answer struct {
+	Packet *radius.Packet
+	Server string
+}
+
+// Counts is what a Transport has met.
+type Counts struct {
+	Sent, Resent int64
+	Answers      int64
+	Unverified   int64 // dropped: wrong authenticator, or none
+	Unasked      int64 // dropped: nothing waits for it
+	Refusals     int64 // of ports
+	NoIdentifier int64
+	Malformed    int64
+}
+
+// Transport implements core.Transport.
+type Transport struct {
+	cfg Config
+
+	mu      sync.Mutex
+	servers map[string]*server
+	counts  Counts
+	start   time.Time
+	closed  bool
+	wg      sync.WaitGroup
+}
+
+// server is where a server is, with its sockets. It stays until nothing waits on it.
+type server struct {
+	name    string
+	addr    netip.AddrPort
+	ids     *ident.Pool
+	sockets []*socket
+	waiting int
+	left    time.Time // zero: it has not
+	gone    bool      // off the list, or moved: its sockets close when nothing waits
+}
+
+// New returns a Transport without servers.
+func New(cfg Config) *Transport {
+	return &Transport{cfg: cfg, servers: make(map[string]*server), start: time.Now()}
+}
+
+func (t *Transport) now() time.Duration { return time.Since(t.start) }
+
+// Counts is what it has met so far.
+func (t *Transport) Counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts
+}
+
+// Serve implements core.Transport.
+func (t *Transport) Serve(name, address string, _ time.Duration) {
+	addr, err := netip.ParseAddrPort(address)
+	if err != nil {
+		slog.Warn("radius: server without a usable address", "server", name, "err", err)
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil {
+		if s.addr == addr {
+			s.left = time.Time{}
+			return
+		}
+		t.drop(s)
+	}
+	t.servers[name] = &server{name: name, addr: addr, ids: ident.New(t.cfg.Sockets, t.cfg.Rest)}
+}
+
+// Leave implements core.Transport.
+func (t *Transport) Leave(name string, gone bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[name]
+	if s == nil {
+		return
+	}
+	if s.left.IsZero() {
+		s.left = time.Now()
+	}
+	if gone {
+		t.drop(s)
+	}
+}
+
+// Keep implements core.Transport.
+func (t *Transport) Keep(listed map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, s := range t.servers {
+		if !listed[name] {
+			if s.left.IsZero() {
+				s.left = time.Now()
+			}
+			t.drop(s)
+		}
+	}
+}
+
+// drop takes a server off. Its sockets stay for what waits on them.
+func (t *Transport) drop(s *server) {
+	s.gone = true
+	if s.left.IsZero() {
+		s.left = time.Now()
+	}
+	delete(t.servers, s.name)
+	t.release(s)
+}
+
+// release closes the sockets of a server that is off, once nothing waits on them.
+func (t *Transport) release(s *server) {
+	if !s.gone || s.waiting > 0 {
+		return
+	}
+	for _, k := range s.sockets {
+		if k != nil {
+			k.conn.Close()
+		}
+	}
+	s.sockets = nil
+}
+
+// CloseIdle implements core.Transport: sockets without traffic cost a server nothing.
+func (t *Transport) CloseIdle(string) {}
+
+// Probe implements core.Transport: RADIUS has no load reports.
+func (t *Transport) Probe(string, time.Duration, func(chalkrack.Report)) {}
+
+// Close ends all attempts, as timed out or never sent, and its goroutines.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	var all []*attempt
+	for _, s := range t.servers {
+		for _, k := range s.sockets {
+			if k == nil {
+				continue
+			}
+			for _, a := range k.waiting {
+				if a != nil {
+					all = append(all, a)
+				}
+			}
+		}
+	}
+	t.mu.Unlock()
+	for _, a := range all {
+		a.timedOut()
+	}
+	t.Keep(nil)
+	t.wg.Wait()
+}
+
+// Attempt implements core.Transport. The payload is a *Request.
+func (t *Transport) Attempt(o core.Order) core.Attempt {
+	return &attempt{t: t, order: o, request: o.Payload.(*Request)}
+}
+
+// attempt implements core.Attempt. All below is guarded by the Transport's lock.
+type attempt struct {
+	t       *Transport
+	order   core.Order
+	request *Request
+
+	socket   *socket // nil: it has no identifier
+	id       ident.ID
+	server   *server
+	wire     []byte
+	hop      radius.Hop
+	state    []byte
+	sent     int // packets
+	refused  int // of them
+	resends  int
+	began    time.Time
+	until    time.Time // when its patience is over
+	timer    *time.Timer
+	ended    bool // abandoned, or its outcome is told
+	answered bool
+}
+
+// stateSize is that of the Proxy-State that an attempt adds.
+const stateSize = 8
+
+// Start implements core.Attempt.
+func (a *attempt) Start() {
+	if o, failed := a.start(); failed {
+		a.order.Sink.Done(o, nil, chalkrack.Report{})
+	}
+}
+
+func (a *attempt) start() (o chalkrack.Outcome, failed bool) {
+	t := a.t
+	secret := t.cfg.Secret(a.order.Server)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.ended {
+		return chalkrack.ConnectFailed, true
+	}
+	s := t.servers[a.order.Server]
+	if s == nil || t.late(s) || t.closed || len(secret) == 0 || !a.order.NotAfter.IsZero() && time.Now().After(a.order.NotAfter) {
+		a.ended = true
+		return chalkrack.ConnectFailed, true
+	}
+	id, opened, ok := s.ids.Take(t.now())
+	if !ok {
+		t.counts.NoIdentifier++
+		a.ended = true
+		return chalkrack.NotSent, true
+	}
+	if opened {
+		k, err := t.open(s)
+		if err != nil {
+			slog.Warn("radius: no socket", "server", s.name, "err", err)
+		}
+		s.sockets = append(s.sockets, k) // nil: what is given an identifier of it is not sent
+	}
+	k := s.sockets[id.Socket]
+	if k == nil {
+		if k, _ = t.open(s); k == nil {
+			s.ids.Give(t.now(), id, false)
+			a.ended = true
+			return chalkrack.NotSent, true
+		}
+		s.sockets[id.Socket] = k
+	}
+	var auth radius.Authenticator
+	rand.Read(auth[:])
+	a.state = make([]byte, stateSize)
+	rand.Read(a.state)
+	p, hop, err := radius.Forward(a.request.Packet, a.request.From, secret, id.Number, auth, a.state)
+	if err != nil {
+		slog.Info("radius: request can't be sent on", "err", err)
+		s.ids.Give(t.now(), id, true)
+		a.ended = true
+		return chalkrack.NotSent, true
+	}
+	a.server, a.socket, a.id, a.wire, a.hop, a.began = s, k, id, p.Marshal(), hop, time.Now()
+	a.until = a.began.Add(t.cfg.Patience)
+	if !a.order.Deadline.IsZero() && a.order.Deadline.Before(a.until) {
+		a.until = a.order.Deadline
+	}
+	k.waiting[id.Number] = a
+	s.waiting++
+	a.send()
+	a.wind()
+	return 0, false
+}
+
+// late says that the grace of a server that left is over. It is called with the lock
+// held, as are the methods below.
+func (t *Transport) late(s *server) bool {
+	return !s.left.IsZero() && time.Since(s.left) > t.cfg.Grace
+}
+
+func (a *attempt) send() {
+	a.sent++
+	if a.sent == 1 {
+		a.t.counts.Sent++
+		a.request.mu.Lock()
+		a.request.sent = a.server.name
+		a.request.mu.Unlock()
+	} else {
+		a.t.counts.Resent++
+	}
+	a.socket.write(a.wire)
+}
+
+// wind sets the timer for the next packet, or the end.
+func (a *attempt) wind() {
+	left := time.Until(a.until)
+	if a.resends < a.t.cfg.Resends {
+		left = min(left, a.t.cfg.Resend<<a.resends)
+	}
+	a.timer = time.AfterFunc(max(left, 0), a.ring)
+}
+
+func (a *attempt) ring() {
+	a.t.mu.Lock()
+	if a.ended {
+		a.t.mu.Unlock()
+		return
+	}
+	if time.Now().Before(a.until) {
+		a.resends++
+		if !a.t.late(a.server) { // one that has left gets nothing after the grace
+			a.send()
+		}
+		a.wind()
+		a.t.mu.Unlock()
+		return
+	}
+	a.t.mu.Unlock()
+	a.timedOut()
+}
+
+func (a *attempt) timedOut() {
+	a.t.mu.Lock()
+	if a.ended {
+		a.t.mu.Unlock()
+		return
+	}
+	a.ended = true
+	a.free(false)
+	a.t.mu.Unlock()
+	a.order.Sink.Done(chalkrack.TimedOut, nil, chalkrack.Report{})
+}
+
+// free gives its identifier back.
+func (a *attempt) free(answered bool) {
+	if a.socket == nil {
+		return
+	}
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	a.socket.waiting[a.id.Number] = nil
+	a.server.ids.Give(a.t.now(), a.id, answered)
+	a.socket = nil
+	a.server.waiting--
+	a.t.release(a.server)
+}
+
+// Abandon implements core.Attempt.
+func (a *attempt) Abandon() (began bool) {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	a.ended = true
+	return a.sent > a.refused
+}
+
+// Close implements core.Attempt: the identifier rests until no answer can come.
+func (a *attempt) Close() {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	a.free(a.answered)
+}
+
+// Phase implements core.Attempt.
+func (a *attempt) Phase() string {
+	a.t.mu.Lock()
+	defer a.t.mu.Unlock()
+	if a.sent == 0 {
+		return "not sent"
+	}
+	return "waiting"
+}
+
+// refusal takes the refusal of a packet. Once all packets of an attempt were refused
+// none can have been read.
+func (a *attempt) refusal() (over bool) {
+	if a.refused++; a.refused < a.sent || a.ended {
+		return false
+	}
+	a.ended = true
+	a.free(true) // nothing can come
+	return true
+}
