--- a/internal/radius/proxy/proxy_test.go
+++ b/internal/radius/proxy/proxy_test.go
@@ -135,8 +135,11 @@
 			return standin.RadiusAct{}
 		})
 		reply := r.client(false).Do(access("nemo"))
-		if reply.Code != lr.CodeAccessAccept || seen.Password != "pin of nemo" {
-			t.Errorf("%+v, password %q", reply, seen.Password)
+		mu.Lock()
+		password := seen.Password
+		mu.Unlock()
+		if reply.Code != lr.CodeAccessAccept || password != "pin of nemo" {
+			t.Errorf("%+v, password %q", reply, password)
 		}
 		if states, _ := rfc2865.ProxyState_Gets(reply.Packet); len(states) != 1 || string(states[0]) != "of the terminal" {
 			t.Errorf("states %q", states)
