RADIUS: a retry of a given-up event goes on with the packet already sent

The test of many calls showed an accounting event counted twice: a call had ended at its deadline, the client sent the event again, and the retry went to the same server as a new packet, which no server can know for the old one.

A call that ends with its event possibly read now parks its packet: same identifier, same socket, same bytes. The client's next packet of that event takes it up again, at that server only, and an answer that came meanwhile is delivered at once. Parked packets are bounded (512 a transport) and forgotten with the memory of the event. After a refusal that follows a packet which may have been read nothing more is sent. The daemon now starts the listeners of [radius] and waits for their calls when it is told to leave.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/front"
 	"chalkrack/internal/membership"
+	"chalkrack/internal/radius/proxy"
 	"chalkrack/internal/upstream"
 )
 
@@ -76,6 +77,15 @@
 	if c.known != nil {
 		host.Listed(c.known)
 	}
+	var terminals *proxy.Proxy // nil: off
+	if c.Features.Radius.Enabled {
+		terminals, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Base: c.settings.Config, Grace: c.settings.DrainGrace, Seed: c.seed})
+		if err != nil {
+			return err
+		}
+		defer terminals.Close()
+		slog.Info("radius", "access", terminals.Addr(false), "accounting", terminals.Addr(true))
+	}
 	ln, err := net.Listen("tcp", c.listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -98,7 +108,7 @@
 		case <-listed:
 		case <-time.After(listMost):
 		case <-term:
-			quit(c, host, srv)
+			quit(c, host, srv, terminals)
 			return nil
 		}
 	}
@@ -120,7 +130,7 @@
 		case <-hup:
 			reload(c, watcher)
 		case <-term:
-			quit(c, host, srv)
+			quit(c, host, srv, terminals)
 			return nil
 		}
 	}
@@ -145,13 +155,18 @@
 	slog.Info("configuration read again", "discovery", c.discovery)
 }
 
-func quit(c *Config, host *core.Host, srv *front.Server) {
+func quit(c *Config, host *core.Host, srv *front.Server, terminals *proxy.Proxy) {
 	began := time.Now()
 	longest := c.settings.Longest()
 	slog.Info("stopping", "held", host.Held())
 	host.QuitAt(longest + quitAfter)
 	srv.Drain()
-	for time.Since(began) < lameFor || srv.Busy() > 0 && time.Since(began) < longest+quitAfter+100*time.Millisecond {
+	busy := func() bool { return srv.Busy() > 0 }
+	if terminals != nil {
+		terminals.QuitAt(longest + quitAfter)
+		busy = func() bool { return srv.Busy() > 0 || terminals.Held() > 0 }
+	}
+	for time.Since(began) < lameFor || busy() && time.Since(began) < longest+quitAfter+100*time.Millisecond {
 		time.Sleep(10 * time.Millisecond)
 	}
 	slog.Info("stopped", "busy", srv.Busy(), "held", host.Held(), "after", time.Since(began))
--- a/internal/features/radius.go
+++ b/internal/features/radius.go
@@ -101,8 +101,8 @@
 // radiusDefault is what the section has where it says nothing.
 func radiusDefault() Radius {
 	return Radius{
-		Access:     RadiusClass{Aim: s(2), Deadline: s(4), Patience: Duration(900 * time.Millisecond), Resend: s(1), Effect: "safe", Worth: 1},
-		Accounting: RadiusClass{Aim: s(5), Deadline: s(20), Patience: s(19), Resend: Duration(500 * time.Millisecond), Resends: 6, Effect: "once", Worth: 1},
+		Access:     RadiusClass{Aim: s(2), Deadline: s(4), Patience: s(1), Resend: Duration(300 * time.Millisecond), Resends: 1, Effect: "safe", Worth: 1},
+		Accounting: RadiusClass{Aim: s(5), Deadline: s(20), Patience: s(19), Resend: Duration(500 * time.Millisecond), Resends: 8, Effect: "once", Worth: 1},
 		Attempts:   3, Sockets: 4, Rest: s(10),
 		RememberFor: s(30), RememberBytes: 8 << 20, RememberBytesEach: 1 << 20, CallsEach: 256,
 		Conversations: 4096, ConversationFor: s(120), OnGiveUp: "reject", ErrorCause: 502, ProbeMisses: 3,
--- a/internal/radius/listener/listener.go
+++ b/internal/radius/listener/listener.go
@@ -91,6 +91,7 @@
 		return nil, fmt.Errorf("radius: %w", err)
 	}
 	conn.SetReadBuffer(readBuffer) // as far as the system lets it
+	cfg.Replies.Forget = func(memo any) { memo.(*transport.Request).Forget() }
 	return &Listener{
 		cfg: cfg, conn: conn, start: time.Now(),
 		table: replies.NewTable(cfg.Replies), talks: conversation.New(cfg.Conversations),
@@ -209,8 +210,10 @@
 type exchange struct {
 	core.Call
 	l       *Listener
-	request *transport.Request
+	request *transport.Request // of a retry: that of the call which was given up
 	entry   *replies.Call
+	first   *radius.Packet // by which the entry is known
+	own     radius.Hop     // of it
 
 	// Guarded by the Listener's lock:
 	latest *radius.Packet // the last packet that asked for it
@@ -250,9 +253,14 @@
 		l.counts.Retried++
 	}
 	l.counts.Calls++
-	x := &exchange{l: l, entry: entry, latest: p, hop: hop, from: from, request: &transport.Request{Packet: p, From: hop}}
+	x := &exchange{l: l, entry: entry, first: p, own: hop, latest: p, hop: hop, from: from}
 	entry.State = x
-	only := entry.Memo
+	only := ""
+	if before, ok := entry.Memo.(*transport.Request); ok {
+		x.request, only = before, before.SentTo()
+	} else {
+		x.request = &transport.Request{Packet: p, From: hop, Resumes: l.cfg.Accounting}
+	}
 	if state := p.Get(radius.State); state != nil && !l.cfg.Accounting {
 		only = l.talks.Server(l.now(), from.Addr(), state)
 	}
@@ -285,15 +293,19 @@
 	a := answer.(*transport.Answer)
 	l := x.l
 	wire := a.Packet.Marshal()
+	if x.first.Authenticator != x.request.From.Authenticator || x.first.ID != x.request.Packet.ID {
+		wire = l.own(x.first, x.own, radius.AccountingResponse)
+	}
 	l.mu.Lock()
 	l.counts.Answered++
+	x.entry.Memo = nil
 	latest, hop, from := x.latest, x.hop, x.from
 	if state := a.Packet.Get(radius.State); state != nil && !l.cfg.Accounting {
 		l.talks.Bind(l.now(), from.Addr(), state, a.Server)
 	}
 	l.table.End(l.now(), x.entry, wire)
 	l.mu.Unlock()
-	if latest != x.request.Packet && latest.Authenticator != x.request.From.Authenticator {
+	if latest.Authenticator != x.first.Authenticator || latest.ID != x.first.ID {
 		wire = l.own(latest, hop, radius.AccountingResponse)
 	}
 	l.send(wire, from)
@@ -326,7 +338,7 @@
 	} else {
 		l.counts.GivenUp++
 		if l.cfg.Accounting && server != "" {
-			x.entry.Memo = server
+			x.entry.Memo = x.request
 		}
 	}
 	l.table.End(l.now(), x.entry, wire)
--- a/internal/radius/replies/replies.go
+++ b/internal/radius/replies/replies.go
@@ -33,6 +33,9 @@
 	Bytes      int           // of all entries
 	EachClient int           // of one client's
 	Open       int           // calls of one client under way at once
+	// Forget is told of the Memo of a call that is forgotten and was not retried; nil:
+	// nobody. It must not call back.
+	Forget func(memo any)
 }
 
 // overhead is what an entry costs beside its answer and its event, in bytes: the two
@@ -59,8 +62,8 @@
 
 // Call is an entry of the Table. Its owner may hang what it needs on it.
 type Call struct {
-	State any    // while it is under way
-	Memo  string // what its retry must know; kept after its end too
+	State any // while it is under way
+	Memo  any // what its retry must know; kept after its end too
 
 	key      Key
 	event    string // empty: none
@@ -107,7 +110,7 @@
 	if c == nil && event != "" {
 		c = t.byEvent[event]
 	}
-	verdict, memo := New, ""
+	verdict, memo := New, any(nil)
 	if c != nil {
 		switch {
 		case !c.done:
@@ -115,8 +118,9 @@
 		case c.answer != nil:
 			return c, Answered
 		}
-		t.drop(c)
 		verdict, memo = Ended, c.Memo
+		c.Memo = nil // it goes on
+		t.drop(c)
 	}
 	size := overhead + len(event)
 	cl := t.clients[key.Client]
@@ -124,6 +128,9 @@
 		cl = &client{addr: key.Client, done: list.New()}
 	}
 	if cl.calls-cl.done.Len() >= t.cfg.Open || !t.makeRoom(cl, size) {
+		if memo != nil && t.cfg.Forget != nil {
+			t.cfg.Forget(memo)
+		}
 		return nil, Full
 	}
 	t.clients[key.Client] = cl
@@ -157,6 +164,9 @@
 	}
 }
 
+// Expire forgets what has been kept for long enough, as each Arrive does.
+func (t *Table) Expire(now time.Duration) { t.expire(now) }
+
 // Under says whether a call is known by that key; if not, its event brought it.
 func (c *Call) Under(key Key) bool { return c.key == key }
 
@@ -200,6 +210,9 @@
 		return
 	}
 	c.gone = true
+	if c.Memo != nil && t.cfg.Forget != nil {
+		t.cfg.Forget(c.Memo)
+	}
 	delete(t.byKey, c.key)
 	if t.byEvent[c.event] == c {
 		delete(t.byEvent, c.event)
--- a/internal/radius/replies/replies_test.go
+++ b/internal/radius/replies/replies_test.go
@@ -72,7 +72,7 @@
 	c.Memo = "may have run at s1"
 	tb.End(1, c, nil)
 	again, v := tb.Arrive(2, key(1, 1), "e")
-	if want(t, "its repeat", v, Ended); again == c || again.Memo != c.Memo {
+	if want(t, "its repeat", v, Ended); again == c || again.Memo != "may have run at s1" {
 		t.Error("the call that has ended, or nothing is known of it")
 	}
 	_, v = tb.Arrive(3, key(1, 1), "e")
@@ -118,6 +118,26 @@
 	want(t, "a new client's call", v, New)
 }
 
+// What a retry must know is handed on, or forgotten, once.
+func TestMemo(t *testing.T) {
+	c := cfg()
+	var forgotten []any
+	c.Forget = func(memo any) { forgotten = append(forgotten, memo) }
+	tb := NewTable(c)
+	call, _ := tb.Arrive(0, key(1, 1), "e")
+	call.Memo = "a"
+	tb.End(0, call, nil)
+	retry, v := tb.Arrive(1, key(1, 1), "e")
+	if want(t, "its retry", v, Ended); retry.Memo != "a" || len(forgotten) > 0 {
+		t.Errorf("%v, forgotten %v", retry.Memo, forgotten)
+	}
+	tb.End(2, retry, nil)
+	tb.Expire(time.Minute)
+	if fmt.Sprint(forgotten) != "[a]" || tb.Len() != 0 {
+		t.Errorf("forgotten %v", forgotten)
+	}
+}
+
 // One client has so many calls under way and no more.
 func TestOpen(t *testing.T) {
 	c := cfg()
--- a/internal/radius/transport/socket.go
+++ b/internal/radius/transport/socket.go
@@ -135,6 +135,13 @@
 		slog.Warn("radius: answer can't be handed back", "server", k.server.name, "err", err)
 	}
 	t.counts.Answers++
+	if a.request.parked == a { // its call was given up, and may come again
+		if err == nil {
+			a.request.late = &Answer{back, k.server.name}
+		}
+		t.mu.Unlock()
+		return
+	}
 	over := a.ended
 	a.ended, a.answered = true, true
 	a.free(true)
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -35,7 +35,7 @@
 	Sockets  int                        // of each server at most, each for 256 attempts
 	Rest     time.Duration              // how long a late answer may come
 	Patience time.Duration              // how long an attempt waits for its answer
-	Resend   time.Duration              // after how long a packet is sent again; doubled each time
+	Resend   time.Duration              // after how long a packet is sent again; doubled thrice
 	Resends  int                        // how often at most
 	// Unsigned takes answers to access without Message-Authenticator: whoever is on the
 	// way can forge them (CVE-2024-3596).
@@ -47,9 +47,33 @@
 type Request struct {
 	Packet *radius.Packet
 	From   radius.Hop
+	// Resumes says that a call that is given up may come again: its packet, identifier
+	// and socket are kept until Forget, so that its server knows the next attempt for a
+	// duplicate of this one. An answer that comes meanwhile is kept for it.
+	Resumes bool
+
+	mu     sync.Mutex
+	t      *Transport // whose attempts it has; nil: none yet
+	sent   string     // the server that got a packet of it last
+	parked *attempt   // guarded by the Transport's lock
+	late   *Answer    // likewise
+}
 
-	mu   sync.Mutex
-	sent string // the server that got a packet of it last
+// Forget frees what is kept for a call that does not come again.
+func (r *Request) Forget() {
+	r.mu.Lock()
+	t := r.t
+	r.mu.Unlock()
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a := r.parked; a != nil {
+		r.parked, r.late = nil, nil
+		t.parked--
+		a.release(false)
+	}
 }
 
 // SentTo is the server that got a packet of it last, empty if none did.
@@ -83,6 +107,7 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	counts  Counts
+	parked  int // attempts that are kept for a call that may come again
 	start   time.Time
 	closed  bool
 	wg      sync.WaitGroup
@@ -195,20 +220,27 @@
 func (t *Transport) Close() {
 	t.mu.Lock()
 	t.closed = true
-	var all []*attempt
+	var all, parked []*attempt
 	for _, s := range t.servers {
 		for _, k := range s.sockets {
 			if k == nil {
 				continue
 			}
 			for _, a := range k.waiting {
-				if a != nil {
+				switch {
+				case a == nil:
+				case a.request.parked == a:
+					parked = append(parked, a)
+				default:
 					all = append(all, a)
 				}
 			}
 		}
 	}
 	t.mu.Unlock()
+	for _, a := range parked {
+		a.request.Forget()
+	}
 	for _, a := range all {
 		a.timedOut()
 	}
@@ -218,7 +250,11 @@
 
 // Attempt implements core.Transport. The payload is a *Request.
 func (t *Transport) Attempt(o core.Order) core.Attempt {
-	return &attempt{t: t, order: o, request: o.Payload.(*Request)}
+	r := o.Payload.(*Request)
+	r.mu.Lock()
+	r.t = t
+	r.mu.Unlock()
+	return &attempt{t: t, order: o, request: r}
 }
 
 // attempt implements core.Attempt. All below is guarded by the Transport's lock.
@@ -233,8 +269,9 @@
 	wire     []byte
 	hop      radius.Hop
 	state    []byte
-	sent     int // packets
-	refused  int // of them
+	sent     int  // packets
+	refused  int  // of them
+	quiet    bool // the port was refused after a packet that may have been read
 	resends  int
 	began    time.Time
 	until    time.Time // when its patience is over
@@ -266,6 +303,10 @@
 		a.ended = true
 		return chalkrack.ConnectFailed, true
 	}
+	if p := a.request.parked; p != nil && p.server == s {
+		a.adopt(p)
+		return 0, false
+	}
 	id, opened, ok := s.ids.Take(t.now())
 	if !ok {
 		t.counts.NoIdentifier++
@@ -311,6 +352,28 @@
 	return 0, false
 }
 
+// adopt goes on with the packet of an attempt that was given up.
+func (a *attempt) adopt(p *attempt) {
+	t := a.t
+	a.request.parked = nil
+	t.parked--
+	a.server, a.socket, a.id, a.wire, a.hop, a.state = p.server, p.socket, p.id, p.wire, p.hop, p.state
+	a.sent, a.refused = p.sent, p.refused
+	p.socket = nil
+	a.socket.waiting[a.id.Number] = a
+	a.began = time.Now()
+	a.until = a.began.Add(t.cfg.Patience)
+	if ans := a.request.late; ans != nil {
+		a.request.late = nil
+		a.ended, a.answered = true, true
+		a.release(true)
+		go a.order.Sink.Done(chalkrack.OK, ans, chalkrack.Report{})
+		return
+	}
+	a.send()
+	a.wind()
+}
+
 // late says that the grace of a server that left is over. It is called with the lock
 // held, as are the methods below.
 func (t *Transport) late(s *server) bool {
@@ -330,11 +393,14 @@
 	a.socket.write(a.wire)
 }
 
+// resendDoubles is how often the time between two packets of an attempt is doubled.
+const resendDoubles = 3
+
 // wind sets the timer for the next packet, or the end.
 func (a *attempt) wind() {
 	left := time.Until(a.until)
 	if a.resends < a.t.cfg.Resends {
-		left = min(left, a.t.cfg.Resend<<a.resends)
+		left = min(left, a.t.cfg.Resend<<min(a.resends, resendDoubles))
 	}
 	a.timer = time.AfterFunc(max(left, 0), a.ring)
 }
@@ -347,7 +413,10 @@
 	}
 	if time.Now().Before(a.until) {
 		a.resends++
-		if !a.t.late(a.server) { // one that has left gets nothing after the grace
+		// One that has left gets nothing after the grace. One whose port was refused after
+		// a packet of this attempt may have run it and died: back again, it would not know
+		// the next one for a duplicate.
+		if !a.t.late(a.server) && !a.quiet {
 			a.send()
 		}
 		a.wind()
@@ -370,7 +439,7 @@
 	a.order.Sink.Done(chalkrack.TimedOut, nil, chalkrack.Report{})
 }
 
-// free gives its identifier back.
+// free gives its identifier back, or keeps it for a call that may come again.
 func (a *attempt) free(answered bool) {
 	if a.socket == nil {
 		return
@@ -378,6 +447,22 @@
 	if a.timer != nil {
 		a.timer.Stop()
 	}
+	if a.request.Resumes && !answered && a.sent > a.refused && !a.quiet && a.request.parked == nil && a.t.parked < parkedMost && !a.t.closed {
+		a.request.parked = a
+		a.t.parked++
+		return
+	}
+	a.release(answered)
+}
+
+// parkedMost bounds the attempts that are kept for calls that may come again. Past it
+// a retry is a packet of its own, which its server can't know for a duplicate.
+const parkedMost = 512
+
+func (a *attempt) release(answered bool) {
+	if a.socket == nil {
+		return
+	}
 	a.socket.waiting[a.id.Number] = nil
 	a.server.ids.Give(a.t.now(), a.id, answered)
 	a.socket = nil
@@ -397,7 +482,9 @@
 func (a *attempt) Close() {
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
-	a.free(a.answered)
+	if a.request.parked != a {
+		a.free(a.answered)
+	}
 }
 
 // Phase implements core.Attempt.
@@ -414,6 +501,7 @@
 // none can have been read.
 func (a *attempt) refusal() (over bool) {
 	if a.refused++; a.refused < a.sent || a.ended {
+		a.quiet = true
 		return false
 	}
 	a.ended = true
