RADIUS: memory over a restart, fawnctl radius send, a demonstration of terminals

An accounting event whose answer was lost came again after a restart by SIGTERM and was counted a second time; so was one that had been given up and could not go on with its packet. And nobody could try RADIUS at all without a terminal.

What is remembered of accounting can be handed on in a file, written whole at the end. What may have run and can't go on (its sockets went with the process, its server moved, its port was refused meanwhile, or 512 others are kept) is lost: it is given up at once when it comes again, and counted as that.

--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -21,8 +21,9 @@
 )
 
 type cli struct {
-	Check checkCmd `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
-	Demo  demoCmd  `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
+	Check  checkCmd  `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
+	Demo   demoCmd   `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
+	Radius radiusCmd `cmd:"" help:"RADIUS, as a terminal speaks it."`
 }
 
 // streams are what a command reads and writes.
@@ -69,6 +70,7 @@
 	Seed    uint64        `default:"1" help:"Of all chance in it."`
 	Script  string        `help:"What happens to servers: '2s freeze 3; 4s thaw 3', or @FILE. Verbs: freeze, thaw, kill, restart, drain, undrain."`
 	NoKeys  bool          `help:"Read no keys from standard input."`
+	Radius  bool          `help:"Show counter terminals over RADIUS in place of HTTP calls."`
 	Log     bool          `help:"Show the daemon's log."`
 }
 
@@ -91,7 +93,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	cfg := demo.Config{Servers: c.Servers, Rate: c.Rate, For: c.For, Seed: c.Seed, Script: steps, Out: s.out, Live: terminal(s.out)}
+	cfg := demo.Config{Servers: c.Servers, Rate: c.Rate, For: c.For, Seed: c.Seed, Radius: c.Radius, Script: steps, Out: s.out, Live: terminal(s.out)}
 	if !c.NoKeys && terminal(s.in) {
 		cfg.Keys = s.in
 	}
--- a/cmd/fawnctl/main_test.go
+++ b/cmd/fawnctl/main_test.go
@@ -27,6 +27,7 @@
 		{"--help", 0, "demo", ""},
 		{"elsewhere", 1, "", "elsewhere"},
 		{"demo --for 300ms --no-keys", 0, "summary", ""},
+		{"demo --radius --for 1500ms --no-keys", 0, "counted twice: 0", ""},
 		{"demo --servers 0 --for 300ms", 1, "", "servers"},
 		{"demo --script nonsense", 1, "", "--script"},
 		{"demo --script @nowhere", 1, "", "nowhere"},
--- a/internal/features/radius.go
+++ b/internal/features/radius.go
@@ -56,9 +56,12 @@
 	RememberFor       Duration `toml:"remember_for"`
 	RememberBytes     int      `toml:"remember_bytes"`
 	RememberBytesEach int      `toml:"remember_bytes_each"` // of one client address
-	CallsEach         int      `toml:"calls_each"`          // under way, of one client address
-	Conversations     int      `toml:"conversations"`
-	ConversationFor   Duration `toml:"conversation_for"`
+	// RememberFile keeps what is remembered of accounting over a restart by SIGTERM;
+	// empty: it is forgotten.
+	RememberFile    string   `toml:"remember_file"`
+	CallsEach       int      `toml:"calls_each"` // under way, of one client address
+	Conversations   int      `toml:"conversations"`
+	ConversationFor Duration `toml:"conversation_for"`
 
 	OnGiveUp   string `toml:"on_give_up"` // reject or silent, for access
 	ErrorCause int    `toml:"error_cause"`
--- a/internal/radius/listener/event.go
+++ b/internal/radius/listener/event.go
@@ -10,6 +10,9 @@
 
 const acctSessionTime radius.Type = 46
 
+// eventSize is the length of an event's name.
+const eventSize = 16
+
 const interim = 3 // Acct-Status-Type Interim-Update (RFC 2869 section 2.1)
 
 // Event names what an Accounting-Request tells of: the NAS, the session, the status and
@@ -54,5 +57,5 @@
 			}
 		}
 	}
-	return string(h.Sum(nil)[:16])
+	return string(h.Sum(nil)[:eventSize])
 }
--- a/internal/radius/listener/listener.go
+++ b/internal/radius/listener/listener.go
@@ -62,6 +62,7 @@
 	Answered   int64 // by servers
 	Rejected   int64 // access given up, and rejected
 	GivenUp    int64 // ended without any answer
+	Lost       int64 // of them, at once: retries of what may have run and can't go on
 	NoRealm    int64
 }
 
@@ -126,6 +127,14 @@
 	}
 }
 
+// Drain takes no new call from now on. Its client sends it again, to what listens here
+// next.
+func (l *Listener) Drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.table.Shut()
+}
+
 // Shut ends Serve. What is under way gets no answer any more.
 func (l *Listener) Shut() { l.conn.Close() }
 
@@ -258,6 +267,12 @@
 	only := ""
 	if before, ok := entry.Memo.(*transport.Request); ok {
 		x.request, only = before, before.SentTo()
+		if before.IsLost() {
+			l.counts.Lost++
+			l.mu.Unlock()
+			x.giveUp(only)
+			return
+		}
 	} else {
 		x.request = &transport.Request{Packet: p, From: hop, Resumes: l.cfg.Accounting}
 	}
@@ -299,6 +314,7 @@
 	l.mu.Lock()
 	l.counts.Answered++
 	x.entry.Memo = nil
+	x.request.Forget() // nothing is to be gone on with
 	latest, hop, from := x.latest, x.hop, x.from
 	if state := a.Packet.Get(radius.State); state != nil && !l.cfg.Accounting {
 		l.talks.Bind(l.now(), from.Addr(), state, a.Server)
--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -165,6 +165,9 @@
 		Silent:        r.OnGiveUp == "silent",
 		ErrorCause:    uint32(r.ErrorCause),
 	})
+	if err == nil && accounting && r.RememberFile != "" {
+		recall(s.listener, r.RememberFile, r.RememberBytes)
+	}
 	return err
 }
 
@@ -322,9 +325,11 @@
 	return n
 }
 
-// QuitAt sees to it that all that is under way is answered by then.
+// QuitAt takes no new calls, and sees to it that all that is under way is answered by
+// then.
 func (p *Proxy) QuitAt(in time.Duration) {
 	for _, s := range p.sides {
+		s.listener.Drain()
 		for _, pl := range s.pools {
 			pl.host.QuitAt(in)
 		}
@@ -348,6 +353,14 @@
 		}
 	}
 	p.wg.Wait()
+	for _, s := range p.sides {
+		if s.listener == nil || s.name != "accounting" || p.cfg.Radius.RememberFile == "" {
+			continue
+		}
+		if err := keep(s.listener, p.cfg.Radius.RememberFile); err != nil {
+			slog.Error("radius: events that come again may be counted twice", "err", err)
+		}
+	}
 	for _, s := range p.sides {
 		for _, pl := range s.pools {
 			pl.transport.Close()
--- a/internal/radius/replies/replies.go
+++ b/internal/radius/replies/replies.go
@@ -92,6 +92,7 @@
 	clients map[netip.Addr]*client
 	done    *list.List // of *Call, in the order of their ends
 	size    int
+	shut    bool // no new calls
 }
 
 // NewTable returns an empty Table.
@@ -118,6 +119,9 @@
 		case c.answer != nil:
 			return c, Answered
 		}
+		if t.shut {
+			return nil, Full
+		}
 		verdict, memo = Ended, c.Memo
 		c.Memo = nil // it goes on
 		t.drop(c)
@@ -127,7 +131,7 @@
 	if cl == nil {
 		cl = &client{addr: key.Client, done: list.New()}
 	}
-	if cl.calls-cl.done.Len() >= t.cfg.Open || !t.makeRoom(cl, size) {
+	if t.shut || cl.calls-cl.done.Len() >= t.cfg.Open || !t.makeRoom(cl, size) {
 		if memo != nil && t.cfg.Forget != nil {
 			t.cfg.Forget(memo)
 		}
@@ -164,6 +168,44 @@
 	}
 }
 
+// Shut takes no new call from now on: it is Full for them. What repeats a call is
+// joined or answered as before.
+func (t *Table) Shut() { t.shut = true }
+
+// Record is what a Table tells of a call that has ended, for another that goes on in
+// its place.
+type Record struct {
+	Key    Key
+	Event  string
+	Answer []byte // nil: none
+	Memo   any
+	Left   time.Duration // that it is still remembered for
+}
+
+// Records is what has ended and is remembered at now, the first ended first.
+func (t *Table) Records(now time.Duration) (all []Record) {
+	for e := t.done.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Call); c.expires > now {
+			all = append(all, Record{c.key, c.event, c.answer, c.Memo, c.expires - now})
+		}
+	}
+	return all
+}
+
+// Restore remembers what another Table did, within the bounds of this one. A record
+// for a key or an event that is known is left out, as is one kept for longer than Keep.
+func (t *Table) Restore(now time.Duration, r Record) {
+	if r.Left <= 0 || r.Left > t.cfg.Keep || t.byKey[r.Key] != nil || r.Event != "" && t.byEvent[r.Event] != nil {
+		return
+	}
+	c, verdict := t.Arrive(now, r.Key, r.Event)
+	if verdict != New {
+		return
+	}
+	c.Memo = r.Memo
+	t.End(now-t.cfg.Keep+r.Left, c, r.Answer)
+}
+
 // Expire forgets what has been kept for long enough, as each Arrive does.
 func (t *Table) Expire(now time.Duration) { t.expire(now) }
 
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -54,7 +54,8 @@
 
 	mu     sync.Mutex
 	t      *Transport // whose attempts it has; nil: none yet
-	sent   string     // the server that got a packet of it last
+	sent   string     // the server that got a packet of it last and may have run it
+	lost   bool       // it may have run, and nothing is kept to go on with
 	parked *attempt   // guarded by the Transport's lock
 	late   *Answer    // likewise
 }
@@ -76,7 +77,27 @@
 	}
 }
 
-// SentTo is the server that got a packet of it last, empty if none did.
+// Lost is the Request of a call that may have run at a server, and can't go on: what
+// was sent for it is not known any more.
+func Lost(server string) *Request { return &Request{Resumes: true, sent: server, lost: true} }
+
+// IsLost says whether it may have run at a server that would not know another attempt
+// for a duplicate. It is not to be sent again.
+func (r *Request) IsLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lost
+}
+
+// ran notes the server that may have run it, empty for none.
+func (r *Request) ran(server string) {
+	r.mu.Lock()
+	r.sent = server
+	r.mu.Unlock()
+}
+
+// SentTo is the server that got a packet of it last, empty if none did or it was
+// refused.
 func (r *Request) SentTo() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -303,7 +324,11 @@
 		a.ended = true
 		return chalkrack.ConnectFailed, true
 	}
-	if p := a.request.parked; p != nil && p.server == s {
+	if p := a.request.parked; p != nil {
+		if p.server != s && a.request.late == nil { // it has moved: there nobody knows the packet
+			a.ended = true
+			return chalkrack.NotSent, true
+		}
 		a.adopt(p)
 		return 0, false
 	}
@@ -341,10 +366,7 @@
 		return chalkrack.NotSent, true
 	}
 	a.server, a.socket, a.id, a.wire, a.hop, a.began = s, k, id, p.Marshal(), hop, time.Now()
-	a.until = a.began.Add(t.cfg.Patience)
-	if !a.order.Deadline.IsZero() && a.order.Deadline.Before(a.until) {
-		a.until = a.order.Deadline
-	}
+	a.limit()
 	k.waiting[id.Number] = a
 	s.waiting++
 	a.send()
@@ -362,7 +384,7 @@
 	p.socket = nil
 	a.socket.waiting[a.id.Number] = a
 	a.began = time.Now()
-	a.until = a.began.Add(t.cfg.Patience)
+	a.limit()
 	if ans := a.request.late; ans != nil {
 		a.request.late = nil
 		a.ended, a.answered = true, true
@@ -374,6 +396,14 @@
 	a.wind()
 }
 
+// limit sets when its patience is over.
+func (a *attempt) limit() {
+	a.until = a.began.Add(a.t.cfg.Patience)
+	if !a.order.Deadline.IsZero() && a.order.Deadline.Before(a.until) {
+		a.until = a.order.Deadline
+	}
+}
+
 // late says that the grace of a server that left is over. It is called with the lock
 // held, as are the methods below.
 func (t *Transport) late(s *server) bool {
@@ -384,9 +414,7 @@
 	a.sent++
 	if a.sent == 1 {
 		a.t.counts.Sent++
-		a.request.mu.Lock()
-		a.request.sent = a.server.name
-		a.request.mu.Unlock()
+		a.request.ran(a.server.name)
 	} else {
 		a.t.counts.Resent++
 	}
@@ -447,16 +475,21 @@
 	if a.timer != nil {
 		a.timer.Stop()
 	}
-	if a.request.Resumes && !answered && a.sent > a.refused && !a.quiet && a.request.parked == nil && a.t.parked < parkedMost && !a.t.closed {
-		a.request.parked = a
-		a.t.parked++
-		return
+	if a.request.Resumes && !answered && a.sent > a.refused {
+		if !a.quiet && a.request.parked == nil && a.t.parked < parkedMost && !a.t.closed {
+			a.request.parked = a
+			a.t.parked++
+			return
+		}
+		a.request.mu.Lock()
+		a.request.lost = true
+		a.request.mu.Unlock()
 	}
 	a.release(answered)
 }
 
-// parkedMost bounds the attempts that are kept for calls that may come again. Past it
-// a retry is a packet of its own, which its server can't know for a duplicate.
+// parkedMost bounds the attempts that are kept for calls that may come again. What is
+// given up past it is lost.
 const parkedMost = 512
 
 func (a *attempt) release(answered bool) {
@@ -505,6 +538,7 @@
 		return false
 	}
 	a.ended = true
+	a.request.ran("")
 	a.free(true) // nothing can come
 	return true
 }
