--- a/internal/radius/listener/listener.go
+++ b/internal/radius/listener/listener.go
@@ -4,6 +4,7 @@
 package listener
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -113,8 +114,8 @@
 
 // Serve takes requests until Close.
 func (l *Listener) Serve() {
+	buf := make([]byte, radius.MaxSize)
 	for {
-		buf := make([]byte, radius.MaxSize) // a request keeps its own
 		n, from, err := l.conn.ReadFromUDPAddrPort(buf)
 		switch {
 		case errors.Is(err, net.ErrClosed):
@@ -123,7 +124,7 @@
 			slog.Warn("radius: can't read", "err", err)
 			continue
 		}
-		l.take(buf[:n:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		l.take(bytes.Clone(buf[:n]), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 	}
 }
 
--- a/internal/radius/transport/socket.go
+++ b/internal/radius/transport/socket.go
@@ -145,6 +145,9 @@
 	over := a.ended
 	a.ended, a.answered = true, true
 	a.free(true)
+	if err != nil {
+		a.request.lose() // it has run: not again
+	}
 	t.mu.Unlock()
 	switch {
 	case over:
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -89,6 +89,12 @@
 	return r.lost
 }
 
+func (r *Request) lose() {
+	r.mu.Lock()
+	r.lost = true
+	r.mu.Unlock()
+}
+
 // ran notes the server that may have run it, empty for none.
 func (r *Request) ran(server string) {
 	r.mu.Lock()
@@ -481,9 +487,7 @@
 			a.t.parked++
 			return
 		}
-		a.request.mu.Lock()
-		a.request.lost = true
-		a.request.mu.Unlock()
+		a.request.lose()
 	}
 	a.release(answered)
 }
