--- a/internal/radius/proxy/proxy_test.go
+++ b/internal/radius/proxy/proxy_test.go
@@ -188,6 +188,73 @@
 	}
 }
 
+// What joins a call is answered where it came from last, and as the packet that it was:
+// from another port, and, for an event, under another identifier.
+func TestJoinedAnswer(t *testing.T) {
+	r := start(t, 1, func(s *features.Radius) { s.Access.Patience, s.Accounting.Resends = ms(5000), 0 })
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) }) // before the servers end
+	r.all(func(standin.RadiusSeen) standin.RadiusAct {
+		<-hold
+		return standin.RadiusAct{}
+	})
+	packets := func(c *standin.RadiusClient, a standin.RadiusAsk, id byte) (first, second []byte) {
+		first = c.Packet(a, 1, [16]byte{1}, 0)
+		if id == 1 {
+			return first, first
+		}
+		return first, c.Packet(a, id, [16]byte{1}, 3*time.Second)
+	}
+	for name, c := range map[string]struct {
+		accounting bool
+		ask        standin.RadiusAsk
+		id         byte
+	}{"port": {false, access("u"), 1}, "event": {true, event("s1", 1), 2}} {
+		client := r.client(c.accounting)
+		first, second := packets(client, c.ask, c.id)
+		client.Throw(first)
+		settle(t, "taken", func() bool { l, _ := r.p.Counts(c.accounting); return l.Calls == 1 })
+		got := make(chan standin.RadiusReply)
+		go func() { got <- client.Exchange(second, patience) }()
+		settle(t, "joined", func() bool { l, _ := r.p.Counts(c.accounting); return l.Joined == 1 })
+		hold <- struct{}{}
+		if reply := <-got; reply.Code == 0 {
+			t.Errorf("%s: %+v", name, reply)
+		}
+	}
+}
+
+// Events that were given up go on, when they come again, at the servers that had them.
+func TestRetryAtItsServer(t *testing.T) {
+	r := start(t, 8, func(s *features.Radius) {
+		s.Accounting.Aim, s.Accounting.Deadline, s.Accounting.Patience, s.Accounting.Resends = ms(100), ms(600), ms(500), 0
+	})
+	for _, s := range r.servers {
+		s.Freeze(true)
+	}
+	const events = 6
+	c := r.client(true)
+	for n := range events {
+		c.Throw(c.Packet(event(fmt.Sprint("s", n), 1), byte(n), [16]byte{}, 0))
+	}
+	settle(t, "given up", func() bool { l, _ := r.p.Counts(true); return l.GivenUp == events })
+	for _, s := range r.servers {
+		s.Freeze(false)
+	}
+	for n := range events {
+		wire := c.Packet(event(fmt.Sprint("s", n), 1), byte(100+n), [16]byte{}, time.Second)
+		settle(t, "answered", func() bool { // the module may hold what comes while its server looks ill
+			return c.Exchange(wire, 200*time.Millisecond).Code == lr.CodeAccountingResponse
+		})
+		if c := r.ledger.Of(eventName(fmt.Sprint("s", n), 1)); c.Effects != 1 {
+			t.Errorf("%d: %+v", n, c)
+		}
+	}
+	if l, tr := r.p.Counts(true); l.Retried < events || tr.Sent != events || tr.Resent < events {
+		t.Errorf("%+v %+v", l, tr)
+	}
+}
+
 // A further attempt is in flight when the terminal asks again: one answer, no third
 // call, and not more attempts than the cap.
 func TestRetransmissionDuringRetry(t *testing.T) {
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -133,6 +133,7 @@
 
 	mu      sync.Mutex
 	servers map[string]*server
+	off     map[*server]bool // dropped, and something waits on their sockets
 	counts  Counts
 	parked  int // attempts that are kept for a call that may come again
 	start   time.Time
@@ -153,7 +154,7 @@
 
 // New returns a Transport without servers.
 func New(cfg Config) *Transport {
-	return &Transport{cfg: cfg, servers: make(map[string]*server), start: time.Now()}
+	return &Transport{cfg: cfg, servers: make(map[string]*server), off: make(map[*server]bool), start: time.Now()}
 }
 
 func (t *Transport) now() time.Duration { return time.Since(t.start) }
@@ -221,6 +222,7 @@
 		s.left = time.Now()
 	}
 	delete(t.servers, s.name)
+	t.off[s] = true
 	t.release(s)
 }
 
@@ -235,6 +237,7 @@
 		}
 	}
 	s.sockets = nil
+	delete(t.off, s)
 }
 
 // CloseIdle implements core.Transport: sockets without traffic cost a server nothing.
@@ -248,21 +251,11 @@
 	t.mu.Lock()
 	t.closed = true
 	var all, parked []*attempt
+	for s := range t.off {
+		s.collect(&all, &parked)
+	}
 	for _, s := range t.servers {
-		for _, k := range s.sockets {
-			if k == nil {
-				continue
-			}
-			for _, a := range k.waiting {
-				switch {
-				case a == nil:
-				case a.request.parked == a:
-					parked = append(parked, a)
-				default:
-					all = append(all, a)
-				}
-			}
-		}
+		s.collect(&all, &parked)
 	}
 	t.mu.Unlock()
 	for _, a := range parked {
@@ -275,6 +268,24 @@
 	t.wg.Wait()
 }
 
+// collect adds the attempts that wait on a server, and those that are kept.
+func (s *server) collect(all, parked *[]*attempt) {
+	for _, k := range s.sockets {
+		if k == nil {
+			continue
+		}
+		for _, a := range k.waiting {
+			switch {
+			case a == nil:
+			case a.request.parked == a:
+				*parked = append(*parked, a)
+			default:
+				*all = append(*all, a)
+			}
+		}
+	}
+}
+
 // Attempt implements core.Transport. The payload is a *Request.
 func (t *Transport) Attempt(o core.Order) core.Attempt {
 	r := o.Payload.(*Request)
