Changes of the configuration are compared with what runs, and dangerous ones named

A configuration can be good alone and wrong after the one that runs: activate that may suddenly repeat, a window wider than servers promised, a longer grace. Nothing said so, and a reload told only that 'the rest' waits for a start.

internal/change flattens both documents to paths and holds each field that differs against one table of rules, without I/O. fawnctl config plan shows the plan and all refusals; SIGHUP logs each field that waits and each that would be refused.

--- /dev/null
+++ b/cmd/fawnctl/config_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const platform = `{"listen":"127.0.0.1:8080","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"settings":{"replicasOfMe":1,"zone":"z","caps":{"attemptsCap":3,"connIdleUs":30000000,"dialTimeoutUs":250000},
+"guarantees":{"drainGraceUs":2000000},"classes":[{"name":"activate","effect":"once","promiseUs":1000000,"hardLimitUs":3000000}]}}`
+
+func TestConfigPlan(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, old, new string) string {
+		path := filepath.Join(dir, name)
+		text := platform
+		if old != "" {
+			if text = strings.Replace(platform, old, new, 1); text == platform {
+				t.Fatalf("%s is not in it", old)
+			}
+		}
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	running := file("running", "", "")
+	moved := file("moved", "127.0.0.1:1", "127.0.0.1:2")
+	weak := file("weak", "once", "repeatable")
+	small := file("small", "1024", "64")
+	bad := file("bad", "attemptsCap\":3", "attemptsCap\":0")
+	own := filepath.Join(dir, "own.toml")
+	if err := os.WriteFile(own, []byte("version = 1\n[paths]\n\"/v1/Activate\" = \"activate\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args   string
+		status int
+		out    string
+		err    string
+	}{
+		{running + " " + running, 0, "nothing changes", ""},
+		{running + " " + moved, 0, "discovery: 127.0.0.1:1 -> 127.0.0.1:2 (SIGHUP", ""},
+		{running + " " + weak, 1, "settings.classes[activate].effect: once -> repeatable", "refused: settings.classes[activate].effect"},
+		{weak + " " + running, 0, "repeatable -> once", ""},
+		{running + " " + small, 0, "limits.sockets: 1024 -> 64", ""},
+		{"--sockets 100 " + running + " " + small, 1, "limits.sockets", "100 sockets are in use"},
+		{running + " " + running + " --next-features " + own, 0, "features.paths[/v1/Activate]: none -> activate", ""},
+		{running + " " + bad, 1, "", "MaxAttempts"},
+		{running + " nowhere", 1, "", "nowhere"},
+		{running, 1, "", "next"},
+	} {
+		var out, err bytes.Buffer
+		status := run(append([]string{"config", "plan"}, strings.Fields(c.args)...), &streams{strings.NewReader(""), &out, &err})
+		if status != c.status || !strings.Contains(out.String(), c.out) || !strings.Contains(err.String(), c.err) {
+			t.Errorf("%s: exit %d\n%s\n%s", c.args, status, out.String(), err.String())
+		}
+	}
+}
--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -23,6 +23,7 @@
 type cli struct {
 	Check  checkCmd  `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
 	Demo   demoCmd   `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
+	Config configCmd `cmd:"" help:"Changes of the configuration."`
 	Radius radiusCmd `cmd:"" help:"RADIUS, as a terminal speaks it."`
 }
 
--- a/cmd/fawnrock/main_test.go
+++ b/cmd/fawnrock/main_test.go
@@ -286,6 +286,13 @@
 		t.Errorf("after bad configurations: answered %q", body)
 	}
 
+	// What takes a start is named, and so is what weakens the rules that are in force.
+	replace(`"drainGraceUs":2000000`, `"drainGraceUs":3000000`)
+	cmd.Process.Signal(syscall.SIGHUP)
+	settle("what waits for a start is not named", func() bool {
+		return log.has("field=settings.guarantees.drainGraceUs old=2000000 new=3000000") && log.has("weakens what runs")
+	})
+
 	replace(first, second)
 	cmd.Process.Signal(syscall.SIGHUP)
 	settle("the new discovery is not followed", func() bool { return answer() == "new" })
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 
+	"chalkrack/internal/change"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/features"
 	"chalkrack/internal/membership"
@@ -25,7 +26,12 @@
 	known             *membership.List // nil: none
 	settings          *settings.Settings
 	asks              bool   // discovery must be asked
-	fixed             []byte // what holds from start to end: limits and settings, as read
+	platform          []byte // the file, as read
+}
+
+// Document is the configuration as it was read, for a comparison with another.
+func (c *Config) Document() change.Document {
+	return change.Document{Platform: c.platform, Features: c.Features}
 }
 
 const (
@@ -107,6 +113,7 @@
 		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
 	c := &Config{
+		platform:  data,
 		listen:    raw.Listen,
 		discovery: raw.Discovery,
 		cores:     raw.Limits.Cores,
@@ -166,6 +173,5 @@
 		return nil, fmt.Errorf("config: settings: %w", err)
 	}
 	c.asks = s.Config.AskWithin > 0
-	c.fixed = fmt.Appendf(nil, "%+v %s", raw.Limits, raw.Settings)
 	return c, nil
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 package daemon
 
 import (
-	"bytes"
 	"fmt"
 	"log/slog"
 	"math"
@@ -13,6 +12,7 @@
 	"runtime/debug"
 	"time"
 
+	"chalkrack/internal/change"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/front"
@@ -144,14 +144,21 @@
 		slog.Error("new configuration not taken: the old one stays in force", "err", err)
 		return
 	}
+	if plan, err := change.Compare(c.Document(), next.Document(), change.Use{}); err == nil {
+		for _, ch := range plan.Changes {
+			if ch.Field != "discovery" {
+				slog.Warn("new configuration: not taken while running", "field", ch.Field, "old", ch.Old, "new", ch.New, "takes", ch.Takes)
+			}
+		}
+		for _, r := range plan.Refusals {
+			slog.Error("new configuration: weakens what runs", "err", r)
+		}
+	}
 	if next.discovery != c.discovery {
 		slog.Info("discovery moves", "from", c.discovery, "to", next.discovery)
 		c.discovery = next.discovery
 		watcher.Move(c.discovery)
 	}
-	if !bytes.Equal(next.fixed, c.fixed) {
-		slog.Warn("new configuration: only discovery is taken while running, the rest with the next start")
-	}
 	slog.Info("configuration read again", "discovery", c.discovery)
 }
 
--- a/internal/radius/replies/replies_test.go
+++ b/internal/radius/replies/replies_test.go
@@ -136,6 +136,49 @@
 	if fmt.Sprint(forgotten) != "[a]" || tb.Len() != 0 {
 		t.Errorf("forgotten %v", forgotten)
 	}
+	// Its retry finds no room: nobody holds it any more.
+	c.Open = 1
+	tb = NewTable(c)
+	call, _ = tb.Arrive(0, key(1, 1), "e")
+	call.Memo = "b"
+	tb.End(0, call, nil)
+	tb.Arrive(0, key(1, 2), "other")
+	if _, v := tb.Arrive(1, key(1, 1), "e"); v != Full || fmt.Sprint(forgotten) != "[a b]" {
+		t.Errorf("%d, forgotten %v", v, forgotten)
+	}
+}
+
+// A Table that is shut joins and answers, and takes nothing new; what may be retried
+// stays for the one that comes after.
+func TestShut(t *testing.T) {
+	tb := NewTable(cfg())
+	open, _ := tb.Arrive(0, key(1, 1), "open")
+	done, _ := tb.Arrive(0, key(1, 2), "done")
+	tb.End(0, done, []byte("x"))
+	given, _ := tb.Arrive(0, key(1, 3), "given up")
+	given.Memo = "a"
+	tb.End(0, given, nil)
+	tb.Shut()
+	for n, c := range []struct {
+		id    int
+		event string
+		want  Verdict
+	}{{1, "open", Joined}, {2, "done", Answered}, {3, "given up", Full}, {4, "new", Full}} {
+		_, v := tb.Arrive(1, key(1, c.id), c.event)
+		want(t, fmt.Sprint(n), v, c.want)
+	}
+	tb.End(2, open, []byte("y"))
+	next := NewTable(cfg())
+	for _, r := range tb.Records(3 * time.Second) {
+		next.Restore(time.Hour, r)
+	}
+	again, v := next.Arrive(time.Hour+time.Second, key(1, 3), "given up")
+	if want(t, "handed on", v, Ended); again.Memo != "a" {
+		t.Errorf("%v", again.Memo)
+	}
+	if next.Expire(time.Hour + 9*time.Second); next.Len() != 1 {
+		t.Errorf("%d are kept past their time", next.Len())
+	}
 }
 
 // One client has so many calls under way and no more.
