A memory of configuration changes that a process killed at any point can start from

A change on trial must survive neither half written nor as a loop of crashes: a process that is killed has to come up under the old configuration or the new one whole.

internal/history keeps the two documents of the good configuration and of the one on trial, and a state that names them, replaced by one rename after all else is synced. The steps are a state machine without I/O. Nothing calls it yet.

--- /dev/null
+++ b/internal/history/store.go
@@ -0,0 +1,236 @@
+package history
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// disk is what a Store needs of a file system: an os.Root's, or a test's that forgets
+// what was not synced.
+type disk interface {
+	// Write writes a file and syncs it.
+	Write(name string, data []byte) error
+	// Rename puts a file in another's place, whole, and syncs the folder.
+	Rename(from, to string) error
+	Read(name string, most int64) ([]byte, error)
+	Names() ([]string, error)
+	Remove(name string) error
+}
+
+// Documents are a configuration's two files, as they were read.
+type Documents struct {
+	Platform []byte // the platform's JSON
+	Features []byte // deploy/features.toml; empty: none
+}
+
+const (
+	stateFile = "state"
+	// documentMost bounds each file that is read, in bytes.
+	documentMost = 4 << 20
+)
+
+// Store keeps a State and the documents that it names in a folder of its own. Every
+// step is written before it is taken: the documents whole, then the state that names
+// them by one rename. One process may have a folder at a time.
+type Store struct {
+	disk  disk
+	state State
+	now   func() time.Time
+}
+
+// Open reads what a folder remembers; it makes the folder, with mode 0700, if it is not
+// there. An error says that the folder can't be used, or holds what is no state.
+func Open(folder string) (*Store, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("history: %w", err)
+	}
+	return open(dir(folder), time.Now)
+}
+
+func open(d disk, now func() time.Time) (*Store, error) {
+	s := &Store{disk: d, now: now, state: State{Version: stateVersion}}
+	data, err := d.Read(stateFile, documentMost)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		return nil, fmt.Errorf("history: %w", err)
+	default:
+		var read State
+		if err := json.Unmarshal(data, &read); err != nil {
+			return nil, fmt.Errorf("history: %w", err)
+		}
+		if err := read.check(); err != nil {
+			return nil, err
+		}
+		s.state = read
+	}
+	return s, nil
+}
+
+// State is what is remembered now.
+func (s *Store) State() State { return s.state }
+
+// commit makes a state the one that is remembered. An error leaves the one before.
+func (s *Store) commit(next State) error {
+	data, err := json.Marshal(next)
+	if err == nil {
+		err = s.disk.Write(stateFile+".new", data)
+	}
+	if err == nil {
+		err = s.disk.Rename(stateFile+".new", stateFile)
+	}
+	if err != nil {
+		return fmt.Errorf("history: %w", err)
+	}
+	s.state = next
+	s.sweep()
+	return nil
+}
+
+// sweep removes documents that no step can come back to. What it leaves at an error
+// goes with the next.
+func (s *Store) sweep() {
+	names, err := s.disk.Names()
+	if err != nil {
+		return
+	}
+	for _, name := range names {
+		number, _, ok := strings.Cut(name, ".")
+		id, err := strconv.Atoi(number)
+		if ok && err == nil && ID(id) != s.state.Good && ID(id) != s.state.Baking {
+			s.disk.Remove(name)
+		}
+	}
+}
+
+func platformFile(id ID) string { return fmt.Sprintf("%d.json", id) }
+func featuresFile(id ID) string { return fmt.Sprintf("%d.toml", id) }
+
+// Apply remembers a configuration as the one on trial; see State.Apply.
+func (s *Store) Apply(d Documents, why string) (ID, error) {
+	next, err := s.state.Apply(s.now(), why)
+	if err != nil {
+		return 0, err
+	}
+	id := s.state.Next()
+	if err := s.disk.Write(platformFile(id), d.Platform); err != nil {
+		return 0, fmt.Errorf("history: %w", err)
+	}
+	if err := s.disk.Write(featuresFile(id), d.Features); err != nil {
+		return 0, fmt.Errorf("history: %w", err)
+	}
+	if err := s.commit(next); err != nil {
+		return 0, err
+	}
+	return id, nil
+}
+
+// Keep makes the configuration on trial the good one.
+func (s *Store) Keep(why string) error {
+	next, err := s.state.Keep(s.now(), why)
+	if err != nil {
+		return err
+	}
+	return s.commit(next)
+}
+
+// Undo goes back to the good one.
+func (s *Store) Undo(why string) error {
+	next, err := s.state.Undo(s.now(), why)
+	if err != nil {
+		return err
+	}
+	return s.commit(next)
+}
+
+// Start is to be called at each start of the process, before it serves: it gives the
+// documents to run. ID 0 says that none are known.
+func (s *Store) Start() (ID, Documents, error) {
+	next, id := s.state.Start(s.now())
+	if next.Starts != s.state.Starts || next.Baking != s.state.Baking {
+		if err := s.commit(next); err != nil {
+			return 0, Documents{}, err
+		}
+	}
+	if id == 0 {
+		return 0, Documents{}, nil
+	}
+	d, err := s.Documents(id)
+	return id, d, err
+}
+
+// Documents are those of the good configuration or of the one on trial.
+func (s *Store) Documents(id ID) (d Documents, err error) {
+	if d.Platform, err = s.disk.Read(platformFile(id), documentMost); err == nil {
+		d.Features, err = s.disk.Read(featuresFile(id), documentMost)
+	}
+	if err != nil {
+		return Documents{}, fmt.Errorf("history: configuration %d: %w", id, err)
+	}
+	return d, nil
+}
+
+// dir is a folder.
+type dir string
+
+func (d dir) at(name string) string { return filepath.Join(string(d), name) }
+
+// Write implements disk.
+func (d dir) Write(name string, data []byte) error {
+	f, err := os.OpenFile(d.at(name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if serr := f.Sync(); err == nil {
+		err = serr
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	return err
+}
+
+// Rename implements disk.
+func (d dir) Rename(from, to string) error {
+	if err := os.Rename(d.at(from), d.at(to)); err != nil {
+		return err
+	}
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// Read implements disk.
+func (d dir) Read(name string, most int64) ([]byte, error) {
+	info, err := os.Stat(d.at(name))
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > most {
+		return nil, fmt.Errorf("%s is over %d bytes", name, most)
+	}
+	return os.ReadFile(d.at(name))
+}
+
+// Names implements disk.
+func (d dir) Names() (names []string, err error) {
+	entries, err := os.ReadDir(string(d))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
+// Remove implements disk.
+func (d dir) Remove(name string) error { return os.Remove(d.at(name)) }
