--- a/internal/radius/listener/listener.go
+++ b/internal/radius/listener/listener.go
@@ -45,6 +45,15 @@
 	// rejected with ErrorCause (RFC 5176 section 3.5).
 	Silent     bool
 	ErrorCause uint32
+	Conn       Conn // where it listens; nil: a UDP socket
+}
+
+// Conn is a socket that takes datagrams from anybody.
+type Conn interface {
+	ReadFromUDPAddrPort([]byte) (int, netip.AddrPort, error) // net.ErrClosed after Close
+	WriteToUDPAddrPort([]byte, netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
 }
 
 // Counts is what a Listener has met.
@@ -73,7 +82,7 @@
 // Listener is one socket.
 type Listener struct {
 	cfg   Config
-	conn  *net.UDPConn
+	conn  Conn
 	start time.Time
 
 	mu     sync.Mutex
@@ -84,15 +93,19 @@
 
 // Listen opens a Listener; Serve makes it work.
 func Listen(address string, cfg Config) (*Listener, error) {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, fmt.Errorf("radius: %w", err)
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return nil, fmt.Errorf("radius: %w", err)
+	conn := cfg.Conn
+	if conn == nil {
+		addr, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, fmt.Errorf("radius: %w", err)
+		}
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		if err != nil {
+			return nil, fmt.Errorf("radius: %w", err)
+		}
+		udp.SetReadBuffer(readBuffer) // as far as the system lets it
+		conn = udp
 	}
-	conn.SetReadBuffer(readBuffer) // as far as the system lets it
 	cfg.Replies.Forget = func(memo any) { memo.(*transport.Request).Forget() }
 	return &Listener{
 		cfg: cfg, conn: conn, start: time.Now(),
--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -34,6 +34,10 @@
 	Base  chalkrack.Config
 	Grace time.Duration // after which nothing new goes to a server that has left
 	Seed  uint64
+
+	// In place of UDP sockets, for tests; nil: UDP.
+	Listen func(address string) listener.Conn
+	Dial   func(netip.AddrPort) (transport.Conn, error)
 }
 
 // Proxy is the whole.
@@ -153,8 +157,13 @@
 		}
 		clients = append(clients, listener.Client{Name: cmp.Or(k.Name, k.Range), Range: prefix, Secret: []byte(k.Secret), Unsigned: k.Unsigned})
 	}
+	var conn listener.Conn
+	if p.cfg.Listen != nil {
+		conn = p.cfg.Listen(listen)
+	}
 	var err error
 	s.listener, err = listener.Listen(listen, listener.Config{
+		Conn:          conn,
 		Accounting:    accounting,
 		Clients:       clients,
 		Pool:          s.pool,
@@ -205,6 +214,7 @@
 		Resends:  class.Resends,
 		Unsigned: p.cfg.Radius.UnsignedAnswers,
 		Grace:    p.cfg.Grace,
+		Dial:     p.cfg.Dial,
 	}
 	t := transport.New(how)
 	how.Sockets, how.Resends = 1, 0
--- a/internal/radius/transport/socket.go
+++ b/internal/radius/transport/socket.go
@@ -10,43 +10,34 @@
 	"chalkrack/internal/radius"
 )
 
-// socket is one connected UDP socket: the system drops what comes from another address.
+// Conn is a way to one server. Only packets from its address come by it.
+type Conn interface {
+	Read([]byte) (int, error) // net.ErrClosed after Close
+	Write([]byte) (int, error)
+	Close() error
+	// Refused tells of the packets whose port was refused, as far as the system says
+	// so, with their first bytes at least. It is called after each Read.
+	Refused(func(packet []byte))
+}
+
+// socket is a Conn with what waits on it.
 type socket struct {
 	t       *Transport
 	server  *server
-	conn    *net.UDPConn
-	raw     syscall.RawConn
+	conn    Conn
 	waiting [256]*attempt // by identifier; guarded by the Transport's lock
 }
 
-const (
-	ipRecvErr   = 0xb  // IP_RECVERR (ip(7))
-	ipv6RecvErr = 0x19 // IPV6_RECVERR
-)
-
 func (t *Transport) open(s *server) (*socket, error) {
-	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(s.addr))
-	if err != nil {
-		return nil, err
-	}
-	k := &socket{t: t, server: s, conn: conn}
-	if k.raw, err = conn.SyscallConn(); err != nil {
-		conn.Close()
-		return nil, err
+	dial := t.cfg.Dial
+	if dial == nil {
+		dial = Dial
 	}
-	// Refusals come with the packet that they are about. Without that one refusal could
-	// not be told from another's, and would prove nothing.
-	err = k.raw.Control(func(fd uintptr) {
-		if s.addr.Addr().Unmap().Is4() {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipRecvErr, 1)
-		} else {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IPV6, ipv6RecvErr, 1)
-		}
-	})
+	conn, err := dial(s.addr)
 	if err != nil {
-		conn.Close()
 		return nil, err
 	}
+	k := &socket{t: t, server: s, conn: conn}
 	t.wg.Go(k.read)
 	return k, nil
 }
@@ -72,37 +63,22 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		}
-		k.refusals()
+		k.conn.Refused(k.refused)
 	}
 }
 
-// refusals reads which packets the system says were refused.
-func (k *socket) refusals() {
-	var packet [64]byte
-	var oob [512]byte
-	for {
-		n := -1
-		err := k.raw.Control(func(fd uintptr) {
-			var rerr error
-			n, _, _, _, rerr = syscall.Recvmsg(int(fd), packet[:], oob[:], syscall.MSG_ERRQUEUE|syscall.MSG_DONTWAIT)
-			if rerr != nil {
-				n = -1
-			}
-		})
-		if err != nil || n < 0 {
-			return
-		}
-		if n < 20 {
-			continue // too little of it to say whose it is
-		}
-		k.t.mu.Lock()
-		k.t.counts.Refusals++
-		a := k.waiting[packet[1]]
-		over := a != nil && string(packet[:20]) == string(a.wire[:20]) && a.refusal()
-		k.t.mu.Unlock()
-		if over {
-			a.order.Sink.Done(chalkrack.ConnectFailed, nil, chalkrack.Report{})
-		}
+// refused takes the refusal of a packet.
+func (k *socket) refused(packet []byte) {
+	if len(packet) < 20 {
+		return // too little of it to say whose it is
+	}
+	k.t.mu.Lock()
+	k.t.counts.Refusals++
+	a := k.waiting[packet[1]]
+	over := a != nil && string(packet[:20]) == string(a.wire[:20]) && a.refusal()
+	k.t.mu.Unlock()
+	if over {
+		a.order.Sink.Done(chalkrack.ConnectFailed, nil, chalkrack.Report{})
 	}
 }
 
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -40,7 +40,8 @@
 	// Unsigned takes answers to access without Message-Authenticator: whoever is on the
 	// way can forge them (CVE-2024-3596).
 	Unsigned bool
-	Grace    time.Duration // after which nothing new goes to a server that has left
+	Grace    time.Duration                      // after which nothing new goes to a server that has left
+	Dial     func(netip.AddrPort) (Conn, error) // nil: UDP
 }
 
 // Request is the payload of a call: a request as it came, and the hop that it came by.
--- a/internal/radius/transport/transport_test.go
+++ b/internal/radius/transport/transport_test.go
@@ -277,7 +277,7 @@
 		}
 	}
 	back := newPeer(t, addr)
-	back.from = k.conn.LocalAddr().(*net.UDPAddr)
+	back.from = k.conn.(*udp).LocalAddr().(*net.UDPAddr)
 	back.answer(wire, radius.AccountingResponse, true)
 	s.want(t, "answered", chalkrack.OK)
 }
