--- a/internal/features/radius.go
+++ b/internal/features/radius.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 )
@@ -202,6 +203,10 @@
 	within(at("remember_for"), r.RememberFor, time.Second, 10*time.Minute)
 	between(at("remember_bytes"), r.RememberBytes, 1<<16, 1<<30)
 	between(at("remember_bytes_each"), r.RememberBytesEach, 1<<14, max(1<<14, r.RememberBytes))
+	if r.Enabled && r.RememberFile != "" { // its end would be too late to notice
+		info, err := os.Stat(filepath.Dir(r.RememberFile))
+		c.need(err == nil && info.IsDir(), at("remember_file"), "its folder is not there")
+	}
 	between(at("calls_each"), r.CallsEach, 1, 1<<16)
 	between(at("conversations"), r.Conversations, 1, 1<<20)
 	within(at("conversation_for"), r.ConversationFor, time.Second, time.Hour)
--- a/internal/radius/listener/listener.go
+++ b/internal/radius/listener/listener.go
@@ -328,7 +328,6 @@
 	l.mu.Lock()
 	l.counts.Answered++
 	x.entry.Memo = nil
-	x.request.Forget() // nothing is to be gone on with
 	latest, hop, from := x.latest, x.hop, x.from
 	if state := a.Packet.Get(radius.State); state != nil && !l.cfg.Accounting {
 		l.talks.Bind(l.now(), from.Addr(), state, a.Server)
--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -45,6 +45,7 @@
 	cfg   Config
 	sides []*side
 	stop  chan struct{}
+	once  sync.Once // of Close
 	wg    sync.WaitGroup
 }
 
@@ -346,8 +347,11 @@
 	}
 }
 
-// Close ends all of it. What is under way is rejected, or given up.
-func (p *Proxy) Close() {
+// Close ends all of it. What is under way is rejected, or given up. A second Close does
+// nothing.
+func (p *Proxy) Close() { p.once.Do(p.close) }
+
+func (p *Proxy) close() {
 	close(p.stop)
 	for _, s := range p.sides {
 		for _, pl := range s.pools {
