--- a/balancer_attempts_test.go
+++ b/balancer_attempts_test.go
@@ -9,9 +9,13 @@
 type tally struct {
 	sends, refused, failed int
 	timers                 []uint64
+	to                     []string
 }
 
-func (h *tally) Send(RequestID, string, time.Duration)   { h.sends++ }
+func (h *tally) Send(_ RequestID, server string, _ time.Duration) {
+	h.sends++
+	h.to = append(h.to, server)
+}
 func (h *tally) Cancel(RequestID, int)                   {}
 func (h *tally) Refuse(RequestID, time.Duration)         { h.refused++ }
 func (h *tally) Fail(RequestID)                          { h.failed++ }
@@ -67,3 +71,36 @@
 		t.Errorf("%v retries and %v copies left, %d sends, %d refused", b.retries, b.reissue.tokens, h.sends, h.refused)
 	}
 }
+
+// A request that is bound to a server goes there and nowhere else, whatever becomes of
+// it; one whose server is not on the list, or has gone, ends at once.
+func TestBoundToAServer(t *testing.T) {
+	for id := range RequestID(40) {
+		b, h := fourServers(t)
+		b.Arrive(0, Request{ID: id, Tenant: -1, Deadline: time.Second, Only: "c"})
+		for n := 0; n < h.sends; n++ {
+			b.Done(time.Millisecond, id, n, Full, false, Report{})
+		}
+		for _, cookie := range h.timers {
+			b.Timer(600*time.Millisecond, cookie)
+		}
+		if len(h.to) != 1 || h.to[0] != "c" || h.refused+h.failed != 1 {
+			t.Errorf("sent to %v, %d refused, %d failed", h.to, h.refused, h.failed)
+		}
+	}
+	for _, gone := range []bool{false, true} {
+		b, h := fourServers(t)
+		only := "nowhere"
+		if gone {
+			only = "c"
+			b.ServersListed(0, []Endpoint{{Name: "a"}, {Name: "b"}, {Name: "d"}})
+		}
+		b.Arrive(time.Minute, Request{ID: 1, Tenant: -1, Deadline: time.Minute + time.Second, Only: only})
+		for _, cookie := range h.timers {
+			b.Timer(time.Minute+2*time.Second, cookie)
+		}
+		if h.sends != 0 || h.refused+h.failed != 1 {
+			t.Errorf("%s: sent to %v, %d refused, %d failed", only, h.to, h.refused, h.failed)
+		}
+	}
+}
--- a/internal/demo/calls.go
+++ b/internal/demo/calls.go
@@ -80,33 +80,15 @@
 		aims[c.Name] = c.Aim
 	}
 	mix := standin.NewMix(m.cfg.Seed, all...)
-	rng := rand.New(rand.NewPCG(m.cfg.Seed, 3))
 	client := standin.NewClient(m.daemon.Addr)
 	defer client.Close()
-	room := make(chan struct{}, held)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for at := time.Now(); ; {
-		at = at.Add(time.Duration(rng.ExpFloat64() / m.cfg.Rate * float64(time.Second)))
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Until(at)):
-		}
+	left := arrive(ctx, m.cfg, func(*rand.Rand) func() {
 		a := mix.Next()
-		select {
-		case room <- struct{}{}:
-		default:
-			m.mu.Lock()
-			m.leftOut++
-			m.mu.Unlock()
-			continue
-		}
-		wg.Go(func() {
-			defer func() { <-room }()
-			m.call(client, a, aims[a.Class.Name])
-		})
-	}
+		return func() { m.call(client, a, aims[a.Class.Name]) }
+	})
+	m.mu.Lock()
+	m.leftOut = left
+	m.mu.Unlock()
 }
 
 // call makes one call as the operators' clients do: refused, it comes again when it is
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -160,6 +161,35 @@
 	m.note(fmt.Sprintf("%s server %d", s.Verb, s.Server))
 }
 
+// arrive makes calls at random times until ctx is done, and returns once all have ended.
+// next is asked for each of them, in turn. It says how many were left out at the limit
+// of those under way at once.
+func arrive(ctx context.Context, cfg Config, next func(*rand.Rand) (call func())) (leftOut int) {
+	rng := rand.New(rand.NewPCG(cfg.Seed, 3))
+	room := make(chan struct{}, held)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for at := time.Now(); ; {
+		at = at.Add(time.Duration(rng.ExpFloat64() / cfg.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return leftOut
+		case <-time.After(time.Until(at)):
+		}
+		call := next(rng)
+		select {
+		case room <- struct{}{}:
+		default:
+			leftOut++
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-room }()
+			call()
+		})
+	}
+}
+
 // notesMost is how many notes are shown.
 const notesMost = 4
 
--- a/internal/demo/terminals.go
+++ b/internal/demo/terminals.go
@@ -118,17 +118,9 @@
 )
 
 func (m *terminals) arrivals(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(m.cfg.Seed, 3))
-	room := make(chan struct{}, held)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for n, at := 0, time.Now(); ; n++ {
-		at = at.Add(time.Duration(rng.ExpFloat64() / m.cfg.Rate * float64(time.Second)))
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Until(at)):
-		}
+	n := -1
+	left := arrive(ctx, m.cfg, func(rng *rand.Rand) func() {
+		n++
 		a := standin.RadiusAsk{NAS: "shop", Tries: terminalTries, Each: terminalEach}
 		if n%2 == 0 {
 			a.User, a.Password = fmt.Sprint("u", n), "1234"
@@ -139,19 +131,11 @@
 			a.Session, a.Status, a.At = fmt.Sprint("s", n), uint32(1+n/2%3), time.Now()
 			a.NewID = n%4 == 1
 		}
-		select {
-		case room <- struct{}{}:
-		default:
-			m.mu.Lock()
-			m.leftOut++
-			m.mu.Unlock()
-			continue
-		}
-		wg.Go(func() {
-			defer func() { <-room }()
-			m.call(a)
-		})
-	}
+		return func() { m.call(a) }
+	})
+	m.mu.Lock()
+	m.leftOut = left
+	m.mu.Unlock()
 }
 
 func (m *terminals) call(a standin.RadiusAsk) {
--- a/internal/features/features_test.go
+++ b/internal/features/features_test.go
@@ -89,6 +89,8 @@
 		{`enabled = true`, "enabled = true\nremember_bytes_each = 1", "f.toml:3: radius.remember_bytes_each: "},
 		{`enabled = true`, "enabled = true\non_give_up = \"wait\"", "f.toml:3: radius.on_give_up: "},
 		{`enabled = true`, "enabled = true\nprobe_every = \"1ms\"", "f.toml:3: radius.probe_every: "},
+		{`enabled = true`, "enabled = true\nprobe_every = \"1s\"\nauth_discovery = \"127.0.0.1:1\"\ndiscovery_secret = \"hush\"", "f.toml:3: radius.probe_every: stands beside"},
+		{`enabled = true`, "enabled = true\nremember_file = \"/nowhere/at/all\"", "f.toml:3: radius.remember_file: its folder"},
 		{`enabled = true`, "enabled = true\nauth_discovery = \"127.0.0.1:1\"\ndiscovery_secret = \"hush\"", "f.toml:13: radius.servers: stands beside"},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
--- a/internal/features/radius.go
+++ b/internal/features/radius.go
@@ -184,6 +184,7 @@
 	}
 	if r.AuthDiscovery != "" || r.AcctDiscovery != "" {
 		c.need(len(r.Servers) == 0, at("servers"), "stands beside a discovery")
+		c.need(r.ProbeEvery == 0, at("probe_every"), "stands beside a discovery, which tells who is there")
 		r.DiscoverySecret = c.secret("radius.", "discovery_secret", r.DiscoverySecret, r.DiscoverySecretFile, r.Enabled)
 	}
 	for name, k := range map[string]*RadiusClass{"radius.access.": &r.Access, "radius.accounting.": &r.Accounting} {
