One way to write files that outlive a kill; sides of RADIUS by kind; examples of fawnctl

The memory of events and the history of configurations each wrote, synced and renamed files, the first without syncing its folder, the second without syncing it after the documents, which a machine without power could lose. Sides were told apart by a name, and three tests of fawnctl had one loop.

internal/durable writes, renames and replaces; both use it. A side says whether it is accounting. The tests share one type of example.

--- a/cmd/fawnctl/config_test.go
+++ b/cmd/fawnctl/config_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
@@ -37,12 +36,7 @@
 	if err := os.WriteFile(own, []byte("version = 1\n[paths]\n\"/v1/Activate\" = \"activate\"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for _, c := range []struct {
-		args   string
-		status int
-		out    string
-		err    string
-	}{
+	for _, c := range []example{
 		{running + " " + running, 0, "nothing changes", ""},
 		{running + " " + moved, 0, "discovery: 127.0.0.1:1 -> 127.0.0.1:2 (SIGHUP", ""},
 		{running + " " + weak, 1, "settings.classes[activate].effect: once -> repeatable", "refused: settings.classes[activate].effect"},
@@ -54,10 +48,6 @@
 		{running + " nowhere", 1, "", "nowhere"},
 		{running, 1, "", "next"},
 	} {
-		var out, err bytes.Buffer
-		status := run(append([]string{"config", "plan"}, strings.Fields(c.args)...), &streams{strings.NewReader(""), &out, &err})
-		if status != c.status || !strings.Contains(out.String(), c.out) || !strings.Contains(err.String(), c.err) {
-			t.Errorf("%s: exit %d\n%s\n%s", c.args, status, out.String(), err.String())
-		}
+		c.try(t, "config", "plan")
 	}
 }
--- a/cmd/fawnctl/radius_test.go
+++ b/cmd/fawnctl/radius_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
@@ -46,12 +45,7 @@
 	t.Setenv("FAWN_RADIUS_SECRET", "")
 	to := " --wait 5s --to " + server.Addr() + " --secret-file " + secret + " "
 	brief := " --wait 30ms --tries 2 --to " + server.Addr() + " --secret-file "
-	for _, c := range []struct {
-		args   string
-		status int
-		out    string
-		err    string
-	}{
+	for _, c := range []example{
 		{"access --user nemo" + to, 0, "Access-Accept", ""},
 		{"access --user nemo" + to, 0, `Reply-Message = "welcome from r1"`, ""},
 		{"access --user chap --chap" + to, 0, "Access-Accept", ""},
@@ -76,12 +70,8 @@
 		{"status" + to, 0, "Message-Authenticator is right", ""},
 		{"status --wait 30ms --to " + dead.Addr() + " --secret-file " + secret, 1, "", "refused"},
 	} {
-		var out, err bytes.Buffer
-		status := run(append([]string{"radius", "send"}, strings.Fields(c.args)...), &streams{strings.NewReader(""), &out, &err})
-		if status != c.status || !strings.Contains(out.String(), c.out) || !strings.Contains(err.String(), c.err) {
-			t.Errorf("%s: exit %d\n%s\n%s", c.args, status, out.String(), err.String())
-		}
-		if strings.Contains(out.String()+err.String(), "of the shop") || strings.Contains(out.String()+err.String(), "1234") {
+		all := c.try(t, "radius", "send")
+		if strings.Contains(all, "of the shop") || strings.Contains(all, "1234") {
 			t.Errorf("%s: a secret shows", c.args)
 		}
 	}
--- a/internal/history/store.go
+++ b/internal/history/store.go
@@ -10,12 +10,13 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"chalkrack/internal/durable"
 )
 
-// disk is what a Store needs of a file system: an os.Root's, or a test's that forgets
-// what was not synced.
+// disk is what a Store needs of a file system: a folder's, or a test's that dies.
 type disk interface {
-	// Write writes a file and syncs it.
+	// Write writes a file and syncs it and its folder.
 	Write(name string, data []byte) error
 	// Rename puts a file in another's place, whole, and syncs the folder.
 	Rename(from, to string) error
@@ -183,33 +184,10 @@
 func (d dir) at(name string) string { return filepath.Join(string(d), name) }
 
 // Write implements disk.
-func (d dir) Write(name string, data []byte) error {
-	f, err := os.OpenFile(d.at(name), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(data)
-	if serr := f.Sync(); err == nil {
-		err = serr
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	return err
-}
+func (d dir) Write(name string, data []byte) error { return durable.Write(d.at(name), data) }
 
 // Rename implements disk.
-func (d dir) Rename(from, to string) error {
-	if err := os.Rename(d.at(from), d.at(to)); err != nil {
-		return err
-	}
-	f, err := os.Open(string(d))
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return f.Sync()
-}
+func (d dir) Rename(from, to string) error { return durable.Rename(d.at(from), d.at(to)) }
 
 // Read implements disk.
 func (d dir) Read(name string, most int64) ([]byte, error) {
--- a/internal/radius/proxy/memory.go
+++ b/internal/radius/proxy/memory.go
@@ -1,14 +1,15 @@
 package proxy
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"io/fs"
 	"log/slog"
 	"os"
-	"path/filepath"
 
+	"chalkrack/internal/durable"
 	"chalkrack/internal/radius/listener"
 )
 
@@ -36,22 +37,12 @@
 
 // keep leaves to the next listener what this one remembers, whole or not at all.
 func keep(l *listener.Listener, path string) error {
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*") // of mode 0600
-	if err != nil {
-		return fmt.Errorf("radius: memory: %w", err)
-	}
-	err = l.Save(f)
-	if serr := f.Sync(); err == nil {
-		err = serr
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
+	var b bytes.Buffer
+	err := l.Save(&b)
 	if err == nil {
-		err = os.Rename(f.Name(), path)
+		err = durable.Replace(path, b.Bytes())
 	}
 	if err != nil {
-		os.Remove(f.Name())
 		return fmt.Errorf("radius: memory: %w", err)
 	}
 	return nil
--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -51,11 +51,12 @@
 
 // side is access, or accounting.
 type side struct {
-	name     string
-	listener *listener.Listener
-	pools    map[string]*pool // by realm; "": all others
-	class    features.RadiusClass
-	watcher  *discovery.Watcher
+	name       string
+	accounting bool
+	listener   *listener.Listener
+	pools      map[string]*pool // by realm; "": all others
+	class      features.RadiusClass
+	watcher    *discovery.Watcher
 }
 
 // pool is the servers of a realm.
@@ -129,7 +130,7 @@
 		byRealm[""] = nil
 		secret = func(string) []byte { return []byte(r.DiscoverySecret) }
 	}
-	s := &side{name: name, class: class, pools: make(map[string]*pool)}
+	s := &side{name: name, accounting: accounting, class: class, pools: make(map[string]*pool)}
 	p.sides = append(p.sides, s)
 	for realm, entries := range byRealm {
 		pl, err := p.pool(name, class, secret, uint64(len(p.sides)*1000+len(s.pools)))
@@ -297,7 +298,7 @@
 // Addr is where access, or accounting, is taken; the zero value where it is not.
 func (p *Proxy) Addr(accounting bool) (addr netip.AddrPort) {
 	for _, s := range p.sides {
-		if (s.name == "accounting") == accounting && s.listener != nil {
+		if s.accounting == accounting && s.listener != nil {
 			addr = s.listener.Addr()
 		}
 	}
@@ -307,7 +308,7 @@
 // Counts is what the listener and the transports of access, or of accounting, have met.
 func (p *Proxy) Counts(accounting bool) (l listener.Counts, t transport.Counts) {
 	for _, s := range p.sides {
-		if (s.name == "accounting") != accounting || s.listener == nil {
+		if s.accounting != accounting || s.listener == nil {
 			continue
 		}
 		l = s.listener.Counts()
@@ -368,7 +369,7 @@
 	}
 	p.wg.Wait()
 	for _, s := range p.sides {
-		if s.listener == nil || s.name != "accounting" || p.cfg.Radius.RememberFile == "" {
+		if s.listener == nil || !s.accounting || p.cfg.Radius.RememberFile == "" {
 			continue
 		}
 		if err := keep(s.listener, p.cfg.Radius.RememberFile); err != nil {
