--- a/internal/radius/proxy/proxy_test.go
+++ b/internal/radius/proxy/proxy_test.go
@@ -38,7 +38,7 @@
 	r := features.Default().Radius
 	r.Enabled, r.Auth, r.Acct = true, "127.0.0.1:0", "127.0.0.1:0"
 	r.Clients = []features.RadiusClient{{Name: "terminals", Range: "127.0.0.0/8", Secret: terminals}}
-	r.Access.Aim, r.Access.Deadline, r.Access.Patience = ms(5000), ms(10000), ms(200)
+	r.Access.Aim, r.Access.Deadline, r.Access.Patience = ms(5000), ms(10000), ms(600)
 	r.Accounting.Aim, r.Accounting.Deadline, r.Accounting.Patience, r.Accounting.Resend = ms(5000), ms(10000), ms(9000), ms(100)
 	return r
 }
@@ -258,7 +258,7 @@
 // A further attempt is in flight when the terminal asks again: one answer, no third
 // call, and not more attempts than the cap.
 func TestRetransmissionDuringRetry(t *testing.T) {
-	r := start(t, 4, func(s *features.Radius) { s.Access.Patience = ms(60) })
+	r := start(t, 4, func(s *features.Radius) { s.Access.Patience = ms(400) })
 	r.all(func(s standin.RadiusSeen) standin.RadiusAct {
 		if s.Nth < 3 {
 			return standin.RadiusAct{Kind: standin.RadiusSilent}
@@ -266,7 +266,7 @@
 		return standin.RadiusAct{Delay: 30 * time.Millisecond}
 	})
 	a := access("u")
-	a.Tries, a.Each = 200, 10*time.Millisecond
+	a.Tries, a.Each = 1000, 10*time.Millisecond
 	if reply := r.client(false).Do(a); reply.Code != lr.CodeAccessAccept {
 		t.Errorf("%+v", reply)
 	}
@@ -310,12 +310,10 @@
 	// Counted, and the answer never comes: given up, and never sent to another server.
 	r.all(always(standin.RadiusSilent))
 	lost := event("s2", 2)
-	lost.Each = 2500 * time.Millisecond
-	if reply := r.client(true).Do(lost); reply.Code != 0 {
-		t.Errorf("%+v", reply)
-	}
-	l, tr := r.p.Counts(true)
-	if l.GivenUp != 1 || tr.Resent == 0 {
+	answered, _ := r.p.Counts(true)
+	r.client(true).Throw(r.client(true).Packet(lost, 1, [16]byte{}, 0))
+	settle(t, "given up", func() bool { l, _ := r.p.Counts(true); return l.GivenUp == 1 })
+	if l, tr := r.p.Counts(true); l.Answered != answered.Answered || tr.Resent == 0 {
 		t.Errorf("%+v %+v", l, tr)
 	}
 	if c := r.ledger.Of(eventName("s2", 2)); c.Attempts != 1 || c.Effects != 1 {
--- a/internal/radius/transport/transport_test.go
+++ b/internal/radius/transport/transport_test.go
@@ -5,8 +5,13 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
+	"slices"
+	"sync"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"chalkrack"
@@ -214,31 +219,213 @@
 	}
 }
 
+// line is a Conn in virtual time, whose far end its test plays.
+type line struct {
+	sent    [][]byte // guarded by mu, as refused
+	refused [][]byte
+	owed    int // writes that tell an earlier packet's error in place of sending
+	mu      sync.Mutex
+	in      chan []byte // nil: a refusal
+	closed  chan struct{}
+}
+
+func newLine() *line { return &line{in: make(chan []byte, 10), closed: make(chan struct{})} }
+
+func (l *line) Read(b []byte) (int, error) {
+	select {
+	case p := <-l.in:
+		if p == nil {
+			return 0, syscall.ECONNREFUSED
+		}
+		return copy(b, p), nil
+	case <-l.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+func (l *line) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.owed > 0 {
+		l.owed--
+		return 0, syscall.ECONNREFUSED
+	}
+	l.sent = append(l.sent, bytes.Clone(b))
+	return len(b), nil
+}
+
+func (l *line) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *line) Refused(tell func([]byte)) {
+	l.mu.Lock()
+	all := l.refused
+	l.refused = nil
+	l.mu.Unlock()
+	for _, b := range all {
+		tell(b)
+	}
+}
+
+// packets is what has been sent so far.
+func (l *line) packets() [][]byte {
+	synctest.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.sent)
+}
+
+// refuse is the news that a packet's port was refused.
+func (l *line) refuse(packet []byte) {
+	l.mu.Lock()
+	l.refused = append(l.refused, packet)
+	l.mu.Unlock()
+	l.in <- nil
+	synctest.Wait()
+}
+
 // A server that read a packet and then refuses the next may have died after it counted:
 // nothing more is sent, also when it is back, and the call can't go on.
 func TestRefusedAfterRead(t *testing.T) {
-	p := newPeer(t, "127.0.0.2:0")
-	tr := newTransport(t, func(c *Config) {
-		c.Patience, c.Resend, c.Resends = 1500*time.Millisecond, 100*time.Millisecond, 10
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine()
+		tr := newTransport(t, func(c *Config) {
+			c.Patience, c.Resend, c.Resends = time.Second, 100*time.Millisecond, 10
+			c.Dial = func(netip.AddrPort) (Conn, error) { return l, nil }
+		})
+		tr.Serve("r1", "127.0.0.2:1", 0)
+		r := event()
+		a, s := begin(tr, r)
+		time.Sleep(101 * time.Millisecond)
+		sent := l.packets()
+		if len(sent) != 2 || !bytes.Equal(sent[0], sent[1]) {
+			t.Fatalf("%x", sent)
+		}
+		l.refuse(sent[1])
+		s.want(t, "refused after it was read", chalkrack.TimedOut)
+		if n := len(l.packets()); n != 2 {
+			t.Errorf("%d packets", n)
+		}
+		a.Close()
+		if !r.IsLost() || r.SentTo() != "r1" {
+			t.Errorf("lost %v, sent to %q", r.IsLost(), r.SentTo())
+		}
 	})
-	tr.Serve("r1", p.addr(), 0)
-	r := event()
-	a, s := begin(tr, r)
-	p.get()
-	addr := p.addr()
-	p.conn.Close()
-	for end := time.Now().Add(patience); tr.Counts().Refusals == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("no refusal")
+}
+
+// A write that tells of an earlier packet's refusal has sent nothing: it is made again.
+func TestWriteAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine()
+		l.owed = 2
+		tr := newTransport(t, func(c *Config) { c.Dial = func(netip.AddrPort) (Conn, error) { return l, nil } })
+		tr.Serve("r1", "127.0.0.2:1", 0)
+		begin(tr, event())
+		if n := len(l.packets()); n != 1 {
+			t.Errorf("%d packets", n)
 		}
-	}
-	back := newPeer(t, addr)
-	back.nothing(900 * time.Millisecond) // resends were due
-	s.want(t, "refused after it was read", chalkrack.TimedOut)
-	a.Close()
-	if !r.IsLost() || r.SentTo() != "r1" {
-		t.Errorf("lost %v, sent to %q", r.IsLost(), r.SentTo())
-	}
+	})
+}
+
+// Nothing is sent to a server without a secret, and nothing said of an attempt that the
+// core has left, though its answer comes.
+func TestNotSentNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine()
+		secret := far
+		tr := newTransport(t, func(c *Config) {
+			c.Dial = func(netip.AddrPort) (Conn, error) { return l, nil }
+			c.Secret = func(string) []byte { return secret }
+		})
+		tr.Serve("r1", "127.0.0.2:1", 0)
+		a, s := begin(tr, event())
+		if !a.Abandon() {
+			t.Error("it had begun")
+		}
+		request, err := radius.Parse(l.packets()[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer := radius.Answer(request, radius.AccountingResponse)
+		answer.SignAnswer(far, request.Authenticator)
+		l.in <- answer.Marshal()
+		synctest.Wait()
+		if c := tr.Counts(); c.Answers != 1 || len(s.done) != 0 {
+			t.Errorf("%+v, %d outcomes", c, len(s.done))
+		}
+		a.Close()
+		secret = nil
+		_, s = begin(tr, event())
+		s.want(t, "without a secret", chalkrack.ConnectFailed)
+		if n := len(l.packets()); n != 1 {
+			t.Errorf("%d packets", n)
+		}
+	})
+}
+
+// Resends come after Resend, doubled three times at most, and as often as they may.
+func TestResends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine()
+		tr := newTransport(t, func(c *Config) {
+			c.Patience, c.Resend, c.Resends = 5*time.Second, 100*time.Millisecond, 5
+			c.Dial = func(netip.AddrPort) (Conn, error) { return l, nil }
+		})
+		tr.Serve("r1", "127.0.0.2:1", 0)
+		began := time.Now()
+		a, s := begin(tr, event())
+		at := time.Duration(0)
+		for n, wait := range []time.Duration{0, 100, 200, 400, 800, 800} { // ms
+			at += wait * time.Millisecond
+			time.Sleep(time.Until(began.Add(at - time.Millisecond)))
+			if got := len(l.packets()); wait > 0 && got != n {
+				t.Errorf("%d packets just before %v", got, at)
+			}
+			time.Sleep(2 * time.Millisecond)
+			if got := len(l.packets()); got != n+1 {
+				t.Errorf("%d packets just after %v", got, at)
+			}
+		}
+		s.want(t, "nothing came", chalkrack.TimedOut)
+		if n := len(l.packets()); n != 6 || time.Since(began) != 5*time.Second {
+			t.Errorf("%d packets, ended after %v", n, time.Since(began))
+		}
+		a.Close()
+	})
+}
+
+// An attempt that is taken up again ends at its call's deadline, as the first did.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine()
+		tr := newTransport(t, func(c *Config) {
+			c.Patience = time.Minute
+			c.Dial = func(netip.AddrPort) (Conn, error) { return l, nil }
+		})
+		tr.Serve("r1", "127.0.0.2:1", 0)
+		r := event()
+		for range 2 {
+			began := time.Now()
+			s := &sink{done: make(chan chalkrack.Outcome, 2)}
+			a := tr.Attempt(core.Order{Payload: r, Server: "r1", Sink: s, Deadline: began.Add(2 * time.Second)})
+			a.Start()
+			s.want(t, "nothing came", chalkrack.TimedOut)
+			if took := time.Since(began); took != 2*time.Second {
+				t.Errorf("ended after %v", took)
+			}
+			a.Close()
+		}
+		if n := len(l.packets()); n != 2 {
+			t.Errorf("%d packets", n)
+		}
+		late := tr.Attempt(core.Order{Payload: event(), Server: "r1", Sink: &sink{done: make(chan chalkrack.Outcome, 2)}, NotAfter: time.Now().Add(-1)})
+		late.Start()
+		if n := len(l.packets()); n != 2 || late.Phase() != "not sent" {
+			t.Errorf("too late to begin, and sent: %d packets", n)
+		}
+	})
 }
 
 // A port that refuses every packet has run none.
@@ -301,26 +488,34 @@
 
 // After the grace nothing new goes to a server that has left, and nothing again.
 func TestLeft(t *testing.T) {
-	p := newPeer(t, "127.0.0.2:0")
-	tr := newTransport(t, func(c *Config) {
-		c.Grace, c.Resend, c.Resends, c.Patience = time.Hour, 100*time.Millisecond, 10, 700*time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine()
+		tr := newTransport(t, func(c *Config) {
+			c.Grace, c.Resend, c.Resends, c.Patience = 250*time.Millisecond, 100*time.Millisecond, 10, 5*time.Second
+			c.Dial = func(netip.AddrPort) (Conn, error) { return l, nil }
+		})
+		tr.Serve("r1", "127.0.0.2:1", 0)
+		_, s := begin(tr, event())
+		tr.Leave("r1", false)
+		time.Sleep(200 * time.Millisecond)
+		begin(tr, event()) // within the grace
+		if n := len(l.packets()); n != 3 {
+			t.Errorf("%d packets within the grace", n)
+		}
+		time.Sleep(51 * time.Millisecond)
+		before := len(l.packets())
+		s.want(t, "nothing came", chalkrack.TimedOut)
+		_, s = begin(tr, event())
+		s.want(t, "after the grace", chalkrack.ConnectFailed)
+		if n := len(l.packets()); n != before {
+			t.Errorf("%d packets after the grace", n-before)
+		}
+		tr.Serve("r1", "127.0.0.2:1", 0)
+		begin(tr, event()) // it is back
+		if n := len(l.packets()); n != before+1 {
+			t.Errorf("%d packets, and it is back", n-before)
+		}
 	})
-	tr.Serve("r1", p.addr(), 0)
-	_, s := begin(tr, event())
-	p.get()
-	p.get() // within the grace
-	tr.mu.Lock()
-	tr.cfg.Grace = 0
-	tr.mu.Unlock()
-	tr.Leave("r1", false)
-	p.nothing(400 * time.Millisecond)
-	s.want(t, "nothing came", chalkrack.TimedOut)
-	_, s = begin(tr, event())
-	s.want(t, "after the grace", chalkrack.ConnectFailed)
-	p.nothing(20 * time.Millisecond)
-	tr.Serve("r1", p.addr(), 0)
-	_, _ = begin(tr, event())
-	p.get() // it is back
 }
 
 // An identifier is not used again while a late answer may come: with one socket the
