Test that a stopping daemon waits for RADIUS calls that are under way

The wait could be taken out unnoticed: all servers of the process test answered within 0.7 s, and a resend got the slow ones' answer at once.

An event is told whose server takes 1.2 s, without resends, right before each stop.

--- a/internal/daemon/radius_test.go
+++ b/internal/daemon/radius_test.go
@@ -41,11 +41,16 @@
 			t.Fatal(err)
 		}
 		defer s.Close()
-		s.Do(func(standin.RadiusSeen) standin.RadiusAct { return standin.RadiusAct{Delay: 10 * time.Millisecond} })
+		s.Do(func(seen standin.RadiusSeen) standin.RadiusAct {
+			if strings.Contains(seen.Name, "slow") { // beyond what a stop takes at least
+				return standin.RadiusAct{Delay: 1200 * time.Millisecond}
+			}
+			return standin.RadiusAct{Delay: 10 * time.Millisecond}
+		})
 		fmt.Fprintf(&servers, "[[radius.servers]]\nname = %q\nauth = %q\nacct = %q\nsecret = \"of the servers\"\n", s.Name, s.Addr(), s.Addr())
 	}
 	auth, acct, memory := freeUDP(t), freeUDP(t), filepath.Join(t.TempDir(), "memory")
-	features := fmt.Sprintf("[radius]\nenabled = true\nauth = %q\nacct = %q\nremember_file = %q\ncalls_each = 1000\n[[radius.clients]]\nrange = \"127.0.0.0/8\"\nsecret = \"of the terminals\"\n%s", auth, acct, memory, servers.String())
+	features := fmt.Sprintf("[radius]\nenabled = true\nauth = %q\nacct = %q\nremember_file = %q\ncalls_each = 1000\n[radius.accounting]\nresends = 0\n[[radius.clients]]\nrange = \"127.0.0.0/8\"\nsecret = \"of the terminals\"\n%s", auth, acct, memory, servers.String())
 	site, err := rig.NewSite(rig.SiteConfig{Servers: 1, Classes: rig.Activation()})
 	if err != nil {
 		t.Fatal(err)
@@ -96,17 +101,27 @@
 				t.Fatal("not counted")
 			}
 		}
+		slow := unlucky
+		slow.Session = fmt.Sprint("slow-", n)
+		straight.Throw(straight.Packet(slow, 2, [16]byte{}, 0))
+		for end := time.Now().Add(20 * time.Second); ledger.Of(fmt.Sprintf("shop %s 1 %d", slow.Session, began.Unix())).Effects == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("not counted")
+			}
+		}
 		if err := d.Stop(); err != nil {
 			t.Errorf("%v\n%s", err, d.Log())
 		}
 		if err := d.Start(); err != nil {
 			t.Fatal(err)
 		}
-		if reply := straight.Do(unlucky); reply.Code != lr.CodeAccountingResponse {
-			t.Errorf("%+v", reply)
+		for _, a := range []standin.RadiusAsk{unlucky, slow} {
+			if reply := straight.Do(a); reply.Code != lr.CodeAccountingResponse {
+				t.Errorf("%s: %+v", a.Session, reply)
+			}
 		}
 		mu.Lock()
-		asked++
+		asked += 2
 		mu.Unlock()
 	}
 	time.Sleep(300 * time.Millisecond)
