--- a/balancer.go
+++ b/balancer.go
@@ -151,6 +151,7 @@
 	// one decides: the request earns no budget here and spends none.
 	Attempts int
 	Only     string // the one server that may take it; empty: any
+	Coming   bool   // its body is not kept and still on its way: Attempts is 1, and Whole comes
 }
 
 // Outcome is how an attempt ended.
@@ -358,6 +359,7 @@
 		switch {
 		case len(q.attempts) == 0:
 			b.first(q, now)
+		case q.Coming: // no server is late before it has all of the request
 		case q.copyDue:
 			q.copyDue = false
 			b.hedge(q, now)
@@ -456,6 +458,15 @@
 	b.cancelOthers(q, n)
 }
 
+// Whole says that the last byte of a Coming request has come: its time counts from now.
+func (b *Balancer) Whole(now time.Duration, id RequestID, deadline time.Duration) {
+	if q := b.requests[id]; q != nil && q.Coming && q.out > 0 {
+		q.Coming, q.arrived, q.attempts[0].sent, q.Deadline = false, now, now, deadline
+		delete(b.timers, q.timer)
+		b.planCopy(q, now)
+	}
+}
+
 // EmptyBudgets takes the budgets of retries and copies away, to be earned anew.
 func (b *Balancer) EmptyBudgets() { b.retries, b.reissue.tokens = 0, 0 }
 
@@ -500,7 +511,7 @@
 
 func (b *Balancer) note(q *request, a *attempt, o Outcome, now time.Duration, rep Report) {
 	s, took := a.to, float64(now-a.sent)/float64(q.class.Aim)
-	if o != Cancelled && o != NotSent && !q.overdue {
+	if o != Cancelled && o != NotSent && !q.overdue && !q.Coming {
 		b.admit.outcome(o == Full, now-q.arrived > q.class.Aim, b.fleet.rate(now), now)
 	}
 	if b.fleet.taken *= 1 - meanStep; o != Full {
@@ -508,31 +519,33 @@
 	}
 	switch o {
 	case OK:
-		s.failures, s.ejections = 0, 0
+		s.out.failures, s.out.spells = 0, 0
 		if s.barred != nil {
 			s.barred[q.Class] = bar{}
 		}
 	case ServerError, ConnectFailed, Reset, TimedOut:
 		b.fleet.failed(s, now)
 	}
-	switch o {
-	case OK, TimedOut:
+	switch {
+	case q.Coming: // what a client needs for its body says nothing of the server
+	case o == OK || o == TimedOut:
 		b.fleet.report(s, o, rep, took, a.held, now)
-	case ServerError: // how soon it came says nothing of speed: one that fails fast would draw more
+	case o == ServerError: // how soon it came says nothing of speed: one that fails fast would draw more
 		s.heed(rep, now)
 		b.fleet.classFailed(s, q.Class, now)
 	}
 	if b.cfg.ConnectionCost > 0 && !s.inSet && s.inFlight == 0 {
 		b.host.CloseIdle(s.name) // a guest's connection would stand open unused
 	}
-	if q.class.Effect == Unsafe || (o != OK && o != Cancelled && o != TimedOut) {
+	if q.class.Effect == Unsafe || q.Coming || (o != OK && o != Cancelled && o != TimedOut) {
 		return
 	}
 	a.took, a.censored = took, o != OK
 	if a.isCopy {
 		b.reissue.copies.add(sample{took, a.censored}, copyWindow)
 	} else {
-		b.reissue.addPrimary(sample{took, a.censored})
+		b.reissue.primary.add(sample{took, a.censored}, primaryWindow)
+		b.reissue.fresh++
 	}
 	if q.wholePair && q.out == 0 && len(q.attempts) == 2 {
 		x, y := &q.attempts[0], &q.attempts[1]
--- a/balancer_attempts_test.go
+++ b/balancer_attempts_test.go
@@ -104,3 +104,60 @@
 		}
 	}
 }
+
+// A request whose body is still on its way gets one attempt, and its time counts from
+// the last byte: what its client needs for it is no lateness and no sign of a server's
+// speed. Before that byte nothing has run, whatever the class; after it the class's
+// rules hold.
+func TestBodyOnItsWay(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		whole bool
+		o     Outcome
+		want  []string
+	}{
+		{"broken before its end", 2, false, ConnectFailed, []string{"send 1", "refuse 1"}},
+		{"turned away", 0, true, Full, []string{"send 1", "refuse 1"}},
+		{"safe, failed", 0, true, ServerError, []string{"send 1", "refuse 1"}},
+		{"keyed, reset", 1, true, Reset, []string{"send 1", "fail 1"}},
+		{"unsafe, reset", 2, true, Reset, []string{"send 1", "fail 1"}},
+	} {
+		b, r := newTest(t, testConfig(), Endpoint{Name: "a", Zone: "z"}, Endpoint{Name: "b", Zone: "z"})
+		b.reissue.q = 1 // each safe request would get a copy
+		level := b.admit.level
+		b.Arrive(0, Request{ID: 1, Class: c.class, Deadline: time.Hour, Attempts: 1, Coming: true})
+		for _, cookie := range r.timers {
+			b.Timer(10*time.Second, cookie) // the aim is long past
+		}
+		if b.admit.level != level {
+			t.Errorf("%s: a client that takes its time counts as lateness", c.name)
+		}
+		at := 20 * time.Second
+		if c.whole {
+			b.Whole(at, 1, at+300*ms)
+		}
+		b.Done(at+ms, 1, 0, c.o, false, Report{})
+		for _, cookie := range r.timers {
+			b.Timer(at+2*ms, cookie)
+		}
+		if got := r.got; len(got) != 2 || got[0] != c.want[0] || got[1] != c.want[1] {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	b, r := newTest(t, testConfig(), Endpoint{Name: "a"})
+	b.Arrive(0, Request{ID: 1, Deadline: time.Hour, Attempts: 1, Coming: true})
+	b.Done(50*time.Second, 1, 0, OK, true, Report{}) // answered before the body's end
+	if s := b.fleet.byName["a"]; s.latN != 0 || b.reissue.fresh != 0 || b.admit.level != 0 {
+		t.Errorf("learned from a body on its way: %+v", s)
+	}
+	b.Arrive(0, Request{ID: 2, Deadline: time.Hour, Attempts: 1, Coming: true})
+	b.Whole(60*time.Second, 2, 61*time.Second)
+	if n := len(r.delays); r.delays[n-1] != 100*ms {
+		t.Errorf("the aim counts for %v from the last byte, want 100ms", r.delays[n-1])
+	}
+	b.Done(60*time.Second+10*ms, 2, 0, OK, true, Report{})
+	if s := b.fleet.byName["a"]; s.latN == 0 || b.fleet.meanLat > 0.11 {
+		t.Errorf("its time does not count from the last byte: mean %v of the aim", b.fleet.meanLat)
+	}
+}
--- a/client/call.go
+++ b/client/call.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/body"
 	"chalkrack/internal/core"
 	"chalkrack/internal/message"
 )
@@ -26,19 +28,30 @@
 	keyed   bool // it carries a key
 	msg     message.Request
 	answers chan *http.Response // holds the one answer
+	kept    *body.Body          // nil: none, or msg has it
+
+	// Of a body that is not kept:
+	forwarded  chan struct{}
+	forwardErr error // once forwarded is closed
+	closing    sync.Once
 }
 
 // ErrBodyTooLarge is the error of a call whose body can't be kept for another attempt.
 var ErrBodyTooLarge = errors.New("client: body too large to keep")
 
-// prepare reads a request whole. It closes the request's body in any case.
-func (t *Transport) prepare(r *http.Request) (*call, error) {
-	defer closeBody(r)
+// prepare reads a request whole, but for a body that is not kept. It closes the
+// request's body in any case, or leaves that to the call's forward.
+func (t *Transport) prepare(r *http.Request) (c *call, err error) {
+	defer func() {
+		if c == nil || c.kept == nil || !c.kept.Coming() {
+			closeBody(r)
+		}
+	}()
 	info, err := t.plan.Classify(r)
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
-	c := &call{t: t, r: r, class: t.plan.set.ClassOf(info.Class), keyed: info.Key != "", answers: make(chan *http.Response, 1)}
+	c = &call{t: t, r: r, class: t.plan.set.ClassOf(info.Class), keyed: info.Key != "", answers: make(chan *http.Response, 1)}
 	switch {
 	case c.class == nil:
 		return nil, fmt.Errorf("client: there is no class %q", info.Class)
@@ -68,18 +81,22 @@
 		return nil, err
 	}
 	size := int64(-1)
-	if r.Body != nil && r.Body != http.NoBody {
-		body, err := io.ReadAll(io.LimitReader(r.Body, t.plan.MaxBody+1))
+	if t.store != nil && r.Body != nil && r.Body != http.NoBody {
+		if size, err = c.keep(info); err != nil {
+			return nil, err
+		}
+	} else if r.Body != nil && r.Body != http.NoBody {
+		whole, err := io.ReadAll(io.LimitReader(r.Body, t.plan.MaxBody+1))
 		switch {
 		case err != nil:
 			return nil, fmt.Errorf("client: reading the body: %w", err)
-		case int64(len(body)) > t.plan.MaxBody:
+		case int64(len(whole)) > t.plan.MaxBody:
 			return nil, fmt.Errorf("%w: over %d bytes", ErrBodyTooLarge, t.plan.MaxBody)
-		case r.ContentLength > 0 && int64(len(body)) != r.ContentLength:
-			return nil, fmt.Errorf("client: body of %d bytes, %d are stated", len(body), r.ContentLength)
+		case r.ContentLength > 0 && int64(len(whole)) != r.ContentLength:
+			return nil, fmt.Errorf("client: body of %d bytes, %d are stated", len(whole), r.ContentLength)
 		}
-		c.msg.Body = [][]byte{body}
-		size = int64(len(body))
+		c.msg.Body = [][]byte{whole}
+		size = int64(len(whole))
 	} else if method != http.MethodGet && method != http.MethodHead {
 		size = 0
 	}
@@ -90,6 +107,9 @@
 		ID: id, Class: info.Class, Tenant: info.Tenant, Key: info.About,
 		Wait: wait, Received: time.Now(), Payload: &c.msg, Caller: c,
 	}
+	if c.kept != nil && c.kept.Coming() {
+		c.Limits = &core.Limits{Attempts: 1, Coming: c.t.plan.Keep.Within}
+	}
 	return c, nil
 }
 
@@ -147,10 +167,21 @@
 func (c *call) decide() (*http.Response, error) {
 	ctx := c.r.Context()
 	c.t.host.Arrive(&c.Call)
-	select {
-	case resp := <-c.answers:
-		return resp, nil
-	case <-ctx.Done():
+	forwarded := c.forwarded
+	for waiting := true; waiting; {
+		select {
+		case resp := <-c.answers:
+			return resp, nil
+		case <-forwarded:
+			forwarded = nil
+			if c.forwardErr == nil {
+				c.t.host.Whole(&c.Call)
+			} else if c.t.host.Gone(&c.Call) {
+				return nil, fmt.Errorf("client: reading the body: %w", c.forwardErr)
+			}
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	if c.t.host.Gone(&c.Call) {
 		return nil, ctx.Err()
@@ -173,7 +204,11 @@
 func (c *call) Fail() { c.answers <- c.answerFailed() }
 
 // Release implements core.Caller.
-func (c *call) Release() {}
+func (c *call) Release() {
+	if c.kept != nil {
+		c.kept.Drop()
+	}
+}
 
 // Stream implements core.Caller.
 func (c *call) Stream(answer any, abort func()) core.Stream {
--- a/client/client.go
+++ b/client/client.go
@@ -29,6 +29,7 @@
 	"sync"
 	"time"
 
+	"chalkrack/internal/body"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/upstream"
@@ -48,6 +49,7 @@
 // Discovery one goroutine and one connection.
 type Transport struct {
 	plan    *plan
+	store   *body.Store // nil: bodies are held in memory, within MaxBody each
 	pool    *upstream.Pool
 	host    *core.Host
 	watcher *discovery.Watcher // nil: a fixed list, or none
@@ -82,6 +84,9 @@
 		Lull:             p.Pause,
 		PassClientErrors: p.PassClientErrors,
 	})
+	if t.store, err = p.store(); err != nil {
+		return nil, err
+	}
 	t.nodes = p.known != nil || p.Discovery != ""
 	coreCfg := core.Config{Settings: p.set, Seed: p.Seed, Transport: t.pool, Log: p.Log}
 	if p.Discovery != "" {
@@ -89,6 +94,9 @@
 		coreCfg.Directory = t.watcher
 	}
 	if t.host, err = core.New(coreCfg); err != nil {
+		if t.store != nil {
+			t.store.Close()
+		}
 		return nil, fmt.Errorf("client: %w", err)
 	}
 	if p.known != nil {
@@ -147,6 +155,8 @@
 	if err != nil {
 		return nil, err
 	}
+	c.forward()
+	defer c.drop()
 	if t.link != nil {
 		if resp, err, past := t.link.roundTrip(c); !past {
 			return resp, err
@@ -251,6 +261,9 @@
 		t.watcher.Close()
 	}
 	t.wg.Wait()
+	if t.store != nil {
+		t.store.Close()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.sweeping != nil {
--- a/client/config.go
+++ b/client/config.go
@@ -90,9 +90,12 @@
 	Instances   int    // how many processes like this one send to the servers; 0: 1
 	NoCopies    bool   // no second copy before the first attempt has ended
 
-	MaxCalls int           // held at once, more are refused; 0: 1024
-	MaxConns int           // to servers at once; 0: 128
-	MaxBody  int64         // of a call's body, in bytes: it is kept for further attempts; 0: 1 MiB
+	MaxCalls int   // held at once, more are refused; 0: 1024
+	MaxConns int   // to servers at once; 0: 128
+	MaxBody  int64 // of a call's body, in bytes: it is kept for further attempts; 0: 1 MiB
+	// Keep has larger bodies kept for further attempts, by the same rules as the
+	// daemon's; MaxBody does not count then. Its zero value is off.
+	Keep     Keep
 	ConnIdle time.Duration // servers close a connection that has been idle for so long; 0: 15 s
 	Dial     time.Duration // how long a connection may take to come up; 0: 1 s
 
--- a/client/link.go
+++ b/client/link.go
@@ -250,7 +250,7 @@
 	}
 	ctx := c.r.Context()
 	most := l.t.plan.set.Config.MaxAttempts
-	msg := &message.Request{Method: c.msg.Method, Body: c.msg.Body}
+	msg := &message.Request{Method: c.msg.Method, Body: c.msg.Body, Source: c.msg.Source, Chunked: c.msg.Chunked}
 	msg.Head = fmt.Appendf(c.msg.Head[:len(c.msg.Head):len(c.msg.Head)], "%s: %d\r\n", message.AttemptsField, max(1, most-1))
 	wait := c.Wait
 	if wait == 0 {
@@ -274,12 +274,22 @@
 	}
 	late := time.NewTimer(time.Until(deadline))
 	defer late.Stop()
+	forwarded := c.forwarded
+	if forwarded != nil { // the time counts from the last byte
+		late.Reset(time.Until(deadline) + l.t.plan.Keep.Within)
+	}
 	suspect := time.NewTimer(suspectAfter)
 	defer suspect.Stop()
 	for {
 		select {
 		case e := <-v.ends:
 			return l.ended(c, e, began, most)
+		case <-forwarded:
+			forwarded = nil
+			if c.forwardErr != nil {
+				return drop(fmt.Errorf("client: reading the body: %w", c.forwardErr))
+			}
+			late.Reset(wait)
 		case <-suspect.C:
 			l.probe()
 		case <-ctx.Done():
@@ -305,12 +315,15 @@
 		return c.answerRefused(l.t.plan.set.Config.MaxRetryAfter / 2), nil, false
 	case e.o == chalkrack.ConnectFailed:
 		l.lost("no connection")
+		if c.unkept() && c.kept.Opened() { // what has gone out can't go out again
+			return c.answerRefused(l.t.plan.set.Config.MaxRetryAfter / 2), nil, false
+		}
 		return nil, nil, true
 	}
 	// The daemon, or its connection, died over the call, which may have run, with all
 	// attempts that were left to the daemon.
 	l.probe()
-	if most < 2 || !l.t.nodes {
+	if most < 2 || !l.t.nodes || c.unkept() {
 		return c.answerUnanswered(), nil, false
 	}
 	switch c.class.Effect {
--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -21,10 +21,15 @@
 )
 
 type cli struct {
-	Check  checkCmd  `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
-	Demo   demoCmd   `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
-	Config configCmd `cmd:"" help:"Changes of the configuration."`
-	Radius radiusCmd `cmd:"" help:"RADIUS, as a terminal speaks it."`
+	Check    checkCmd    `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
+	Demo     demoCmd     `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
+	Config   configCmd   `cmd:"" help:"Changes of the configuration."`
+	Radius   radiusCmd   `cmd:"" help:"RADIUS, as a terminal speaks it."`
+	Status   stateCmd    `cmd:"" help:"What state a running daemon is in."`
+	Explain  explainCmd  `cmd:"" help:"Group the stories of calls that were not served in time by their causes."`
+	Load     loadCmd     `cmd:"" help:"Send load at the times of a schedule, and measure."`
+	Rehearse rehearseCmd `cmd:"" help:"Play a scenario with a daemon and stand-in servers, and judge it by the rules."`
+	Bodies   bodiesCmd   `cmd:"" help:"Where a running daemon keeps request bodies, and what became of them."`
 }
 
 // streams are what a command reads and writes.
@@ -133,8 +138,14 @@
 		if err = ctx.Run(); err == nil {
 			return 0
 		}
-		if errors.Is(err, errBad) {
+		switch {
+		case errors.Is(err, errBad):
 			return 1
+		case errors.Is(err, errLimit):
+			return 2
+		case errors.Is(err, errAway):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 3
 		}
 	}
 	fmt.Fprintln(s.err, "fawnctl:", err)
--- a/cmd/fawnctl/main_test.go
+++ b/cmd/fawnctl/main_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"chalkrack/internal/standin"
 )
 
 // example is a use of the program: its arguments, and its exit status with a part of
@@ -49,3 +51,45 @@
 		c.try(t)
 	}
 }
+
+// The exit statuses of the commands that ask a daemon, send load and read stories.
+func TestStatuses(t *testing.T) {
+	dir := t.TempDir()
+	short := filepath.Join(dir, "short.toml")
+	text := "version = 1\nlength = \"300ms\"\n[[arrivals]]\nkind = \"constant\"\nrate = 50\n[limits]\nlag = \"10s\"\ncpu = 1000.0\n"
+	if err := os.WriteFile(short, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	server, err := standin.NewServer(standin.ServerConfig{Name: "s"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	log := filepath.Join(dir, "log")
+	os.WriteFile(log, []byte(`{"msg":"story","story":{"class":"activate","worth":10,"end":"refused"}}`+"\n"), 0o600)
+	recording := filepath.Join(dir, "calls.csv")
+	os.WriteFile(recording, []byte("ts,kind\n1700000000,activate\n1700000001,activate\nx,y\n"), 0o600)
+	for _, c := range []struct {
+		args   []string
+		status int
+		says   string
+	}{
+		{[]string{"status", "--socket", filepath.Join(dir, "none")}, 3, "can't be asked"},
+		{[]string{"bodies", "--socket", filepath.Join(dir, "none"), "--json"}, 3, "can't be asked"},
+		{[]string{"load", "run", short, "--target", "192.0.2.1:80"}, 1, "not a loopback"},
+		{[]string{"load", "run", short, "--target", server.Addr()}, 0, "these figures hold"},
+		{[]string{"load", "run", short, "--target", server.Addr(), "--json", "-"}, 0, `"figures_hold":true`},
+		{[]string{"load", "run", short, "--target", server.Addr(), "--html", filepath.Join(dir, "r.html")}, 0, "all, naive"},
+		{[]string{"load", "run", filepath.Join(dir, "none.toml"), "--target", server.Addr()}, 1, "the library has"},
+		{[]string{"load", "import", recording, "--form", "csv", "--columns", "at=ts;class=kind", "--out", filepath.Join(dir, "t")}, 0, "2 of 3 lines taken"},
+		{[]string{"rehearse", "--list"}, 0, "quiet-day"},
+		{[]string{"rehearse", short}, 1, "no [site]"},
+		{[]string{"explain", log}, 0, "no server is listed"},
+		{[]string{"explain", log, "--against", log, "--json"}, 0, `"worth_a":10`},
+	} {
+		var out, errs bytes.Buffer
+		if got := run(c.args, &streams{strings.NewReader(""), &out, &errs}); got != c.status || !strings.Contains(out.String()+errs.String(), c.says) {
+			t.Errorf("%v: status %d, want %d with %q\n%s%s", c.args, got, c.status, c.says, out.String(), errs.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,88 @@
+package admin
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestSocket(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	dir := t.TempDir()
+	path := filepath.Join(dir, "s")
+	type view struct{ N int }
+	pages := map[string]func() any{"status": func() any { return view{7} }}
+	// One that a dead process left: a socket that nobody serves.
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.(*net.UnixListener).SetUnlinkOnClose(false)
+	ln.Close()
+	s, err := Listen(path, pages)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("mode %v, %v", info.Mode(), err)
+	}
+	var v view
+	for range 3 * connsMost { // each ends its connection
+		if err := Ask(t.Context(), path, "status", &v); err != nil || v.N != 7 {
+			t.Fatalf("%+v, %v", v, err)
+		}
+	}
+	if err := Ask(t.Context(), path, "bodies", &v); err == nil || !strings.Contains(err.Error(), "off there") {
+		t.Errorf("a page that is not there: %v", err)
+	}
+	c, err := net.Dial("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Write([]byte("POST /v1/status HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"))
+	p := make([]byte, 12)
+	if _, err := c.Read(p); err != nil || string(p) != "HTTP/1.1 405" {
+		t.Errorf("a POST: %q, %v", p, err)
+	}
+	c.Close()
+	if _, err := Listen(path, pages); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("a socket that is served: %v", err)
+	}
+	// Connections that say nothing hold no more than their bound.
+	var idle []net.Conn
+	for range 2 * connsMost {
+		c, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		idle = append(idle, c)
+	}
+	for _, c := range idle {
+		c.Close()
+	}
+	if err := Ask(t.Context(), path, "status", &v); err != nil {
+		t.Errorf("behind idle connections: %v", err)
+	}
+	s.Close()
+	if _, err := os.Lstat(path); !os.IsNotExist(err) {
+		t.Errorf("the socket is left: %v", err)
+	}
+	if left, _ := os.ReadDir(dir); len(left) != 0 {
+		t.Errorf("left: %v", left)
+	}
+	file := filepath.Join(dir, "file")
+	if err := os.WriteFile(file, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Listen(file, pages); err == nil {
+		t.Error("a file was taken for a socket's place")
+	}
+	if err := Ask(context.Background(), path, "status", &v); err == nil {
+		t.Error("nobody is there, and answers")
+	}
+}
--- /dev/null
+++ b/internal/body/view.go
@@ -0,0 +1,64 @@
+package body
+
+import (
+	"time"
+
+	"chalkrack/internal/keep"
+)
+
+// ClassView is what became of the bodies of a class, as operators see it.
+type ClassView struct {
+	Class         string `json:"class"`
+	Memory        int64  `json:"kept_in_memory"`
+	File          int64  `json:"kept_in_file"`
+	Nowhere       int64  `json:"not_kept"`
+	Refused       int64  `json:"no_room"`
+	Moved         int64  `json:"moved_to_file"`
+	RetriedMemory int64  `json:"retried_from_memory"`
+	RetriedFile   int64  `json:"retried_from_file"`
+	UnkeptRefused int64  `json:"refused_for_not_kept"`
+	UnkeptFailed  int64  `json:"failed_for_not_kept"`
+	Bytes         int64  `json:"bytes_in_memory"`
+	DiskBytes     int64  `json:"bytes_on_disk"`
+}
+
+// Amount is what is taken of something, in bytes or pieces.
+type Amount struct {
+	Now   int64 `json:"now"`
+	Most  int64 `json:"most"`
+	Limit int64 `json:"limit"`
+}
+
+// View is the state of a Store.
+type View struct {
+	Classes   []ClassView `json:"classes"`
+	Memory    Amount      `json:"memory_bytes"`
+	Disk      Amount      `json:"disk_bytes"`
+	Files     Amount      `json:"files"`
+	Streams   Amount      `json:"streams"`
+	Tight     bool        `json:"memory_tight"`
+	DiskState string      `json:"disk_state"` // off: no files are set
+	DiskSince time.Time   `json:"disk_since"`
+	DiskMoves int         `json:"disk_changes"`
+}
+
+// View is the state now.
+func (s *Store) View() View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.keeper.Usage()
+	v := View{Memory: Amount(u.Memory), Disk: Amount(u.Disk), Files: Amount(u.Files), Streams: Amount(u.Streams),
+		Tight: s.keeper.Tight(), DiskState: "off", DiskSince: s.since, DiskMoves: s.disk.Moves()}
+	if s.cfg.Spool != nil {
+		state, _ := s.disk.State()
+		v.DiskState = state.String()
+	}
+	for n, name := range s.cfg.Classes {
+		v.Classes = append(v.Classes, classView(name, s.keeper.Count(n)))
+	}
+	return v
+}
+
+func classView(name string, c keep.Count) ClassView {
+	return ClassView{name, c.Memory, c.File, c.Nowhere, c.Refused, c.Moved, c.RetriedMemory, c.RetriedFile, c.UnkeptRefused, c.UnkeptFailed, c.Bytes, c.DiskBytes}
+}
--- a/internal/core/action.go
+++ b/internal/core/action.go
@@ -32,6 +32,7 @@
 	actCloseIdle
 	actProbe
 	actSubscribe
+	actStory
 )
 
 var actionLists = sync.Pool{New: func() any { l := make([]action, 0, 4); return &l }}
@@ -70,6 +71,8 @@
 		h.transport.Probe(server, probeMost, func(rep chalkrack.Report) {
 			h.locked(func(now time.Duration) { h.b.Probed(now, server, rep) })
 		})
+	case actStory:
+		h.write(a.answer.(*Story))
 	case actSubscribe:
 		go func() {
 			defer h.recovered("discovery")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,7 @@
 	Limits   *Limits // nil: those of the settings only
 	Payload  any     // for the transport
 	Caller   Caller
+	Retry    bool // its caller's, told for the log
 
 	state *call
 }
@@ -66,6 +67,10 @@
 	Mark     string    // with Attempts at 1: names this attempt of the tier before; empty: it comes once
 	NotAfter time.Time // no attempt begins later; zero: no such end
 	Only     string    // the one server that may take it; empty: any
+	// Coming is how long the body may still take of a call that arrives before it is
+	// whole, since it is kept nowhere: it gets one attempt, and its time counts from
+	// Host.Whole on. 0: all of it is here.
+	Coming time.Duration
 }
 
 // Order is what a transport is told of one attempt.
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -28,6 +28,7 @@
 	transport Transport
 	directory Directory
 	log       func() *slog.Logger
+	story     *slog.Logger // nil: off
 
 	start time.Time
 	unix  time.Duration // at start
@@ -42,8 +43,10 @@
 	alarmAt time.Duration
 	actions *[]action // nil: none
 	quitAt  time.Duration
-	ready   bool
-	closed  bool
+	// listedAt is when discovery last said anything.
+	listedAt time.Duration
+	ready    bool
+	closed   bool
 }
 
 // Config is what a Host is told.
@@ -53,6 +56,8 @@
 	Transport Transport
 	Directory Directory    // nil where the list comes unasked
 	Log       *slog.Logger // nil: the default one
+	// Story is told of each call that was not served within its aim; nil: nobody is.
+	Story *slog.Logger
 }
 
 var noLimits Limits
@@ -66,6 +71,10 @@
 	attempts []*attempt
 	out      int
 	over     bool
+	coming   bool // its body is not whole
+
+	story *Story // nil: not told
+	came  time.Duration
 }
 
 // repeatBefore is when it is too late to repeat a keyed request: a window after the
@@ -110,6 +119,7 @@
 		start:     start,
 		unix:      time.Duration(start.UnixNano()),
 		held:      make(map[chalkrack.RequestID]*call),
+		story:     cfg.Story,
 	}
 	if cfg.Log != nil {
 		h.log = func() *slog.Logger { return cfg.Log }
@@ -182,30 +192,64 @@
 		if wait == 0 {
 			wait = h.set.DeadlineOf(c.Class)
 		}
-		deadline := now - time.Since(c.Received) + min(wait, longestWait) - min(deadlineMargin, wait/10)
+		deadline := now - time.Since(c.Received) + limits.Coming + within(wait)
 		if h.quitAt > 0 {
 			deadline = min(deadline, h.quitAt)
 		}
 		h.last++
-		q := &call{id: h.last, c: c, deadline: deadline}
+		q := &call{id: h.last, c: c, deadline: deadline, coming: limits.Coming > 0}
 		if class >= 0 {
 			q.class = &h.set.Config.Classes[class]
 		}
 		c.state = q
 		h.held[q.id] = q
 		h.after(alarm{at: deadline, q: q})
+		h.begins(now, q)
 		h.b.Arrive(now, chalkrack.Request{
 			ID:       q.id,
 			Class:    class,
 			Tenant:   h.set.Tenant([]byte(c.Tenant)),
 			Key:      c.Key,
 			Deadline: deadline,
-			Attempts: limits.Attempts,
+			Attempts: limits.attempts(),
 			Only:     limits.Only,
+			Coming:   q.coming,
 		})
 	})
 }
 
+// within is how long a call may take whose caller waits for so long.
+func within(wait time.Duration) time.Duration {
+	return min(wait, longestWait) - min(deadlineMargin, wait/10)
+}
+
+// attempts is the most of a call's attempts: one of a body that nobody keeps.
+func (l *Limits) attempts() int {
+	if l.Coming > 0 {
+		return 1
+	}
+	return l.Attempts
+}
+
+// Whole says that the last byte of a call with Limits.Coming has come.
+func (h *Host) Whole(c *Call) {
+	defer h.recovered("a body that is whole")
+	h.locked(func(now time.Duration) {
+		q := c.state
+		if q == nil || q.over || !q.coming {
+			return
+		}
+		wait := c.Wait
+		if wait == 0 {
+			wait = h.set.DeadlineOf(c.Class)
+		}
+		q.coming = false
+		q.deadline = min(q.deadline, now+within(wait))
+		h.after(alarm{at: q.deadline, q: q})
+		h.b.Whole(now, q.id, q.deadline)
+	})
+}
+
 // Gone says that a call's caller has left. False says that its answer is under way
 // or given, so that the caller hears of it all the same. It holds also where the
 // Balancer panics: the caller's side comes here to end a call that a panic has left
@@ -218,6 +262,7 @@
 			return
 		}
 		q.over, taken = true, true
+		h.ends(now, q, "left")
 		h.log().Info("client left", "id", q.id, "class", c.Class, "after", time.Since(c.Received), "attempts", len(q.attempts), "wait", c.Wait)
 		defer h.forget(q)
 		h.b.ClientGone(now, q.id)
@@ -285,6 +330,7 @@
 func (h *Host) Listed(l *membership.List) {
 	endpoints := make([]chalkrack.Endpoint, len(l.Entries))
 	h.locked(func(now time.Duration) {
+		h.listedAt = now
 		listed := make(map[string]bool, len(l.Entries))
 		for n, e := range l.Entries {
 			endpoints[n] = e.Endpoint
@@ -328,6 +374,7 @@
 	}
 	if l := q.c.Limits; l != nil {
 		o.NotAfter = l.NotAfter
+		o.Deadline = o.Deadline.Add(-l.Coming) // servers' time begins with the last byte too
 	}
 	if end := q.repeatBefore(); end > 0 {
 		if at := now.Add(end - a.sent); o.NotAfter.IsZero() || at.Before(o.NotAfter) {
@@ -337,6 +384,7 @@
 	a.send = h.transport.Attempt(o)
 	q.attempts = append(q.attempts, a)
 	q.out++
+	h.sends(a.sent, q, a)
 	h.act(action{kind: actStart, a: a})
 }
 
@@ -378,6 +426,11 @@
 		return
 	}
 	q.over = true
+	if answer.kind == actRefuse {
+		h.ends(h.now(), q, "refused")
+	} else {
+		h.ends(h.now(), q, "failed")
+	}
 	answer.caller = q.c.Caller
 	h.act(answer)
 	h.forget(q)
@@ -406,6 +459,7 @@
 func (h *Host) forget(q *call) {
 	if q.over && q.out == 0 && q.c != nil {
 		delete(h.held, q.id)
+		h.tell(q)
 		h.act(action{kind: actRelease, caller: q.c.Caller})
 		q.c, q.attempts = nil, nil
 	}
@@ -422,6 +476,8 @@
 		}
 		a.done, q.over = true, true
 		q.out--
+		a.host.ends(now, q, "served")
+		a.host.attemptEnded(now, a, chalkrack.OK)
 		a.stream = q.c.Caller.Stream(answer, a.abort)
 		w = a.stream
 		defer a.host.forget(q)
@@ -455,10 +511,12 @@
 	q := a.q
 	a.done, a.neverRan = true, o.NeverRan()
 	q.out--
+	h.attemptEnded(now, a, o)
 	switch {
 	case q.over:
 	case o == chalkrack.OK && answer != nil:
 		q.over = true
+		h.ends(now, q, "served")
 		h.act(action{kind: actServe, caller: q.c.Caller, answer: answer})
 	case o == chalkrack.OK: // nothing to show for it
 		o = chalkrack.Reset
@@ -483,6 +541,9 @@
 		o := chalkrack.TimedOut
 		if !a.send.Abandon() {
 			o = chalkrack.ConnectFailed
+			if q.coming { // that the client took so long is no fault of the server's
+				o = chalkrack.NotSent
+			}
 		}
 		h.act(action{kind: actCloseAttempt, a: a})
 		h.done(now, a, o, nil, chalkrack.Report{})
--- /dev/null
+++ b/internal/core/story_test.go
@@ -0,0 +1,86 @@
+package core_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/core"
+	"chalkrack/internal/front"
+	"chalkrack/internal/membership"
+	"chalkrack/internal/upstream"
+	"net"
+)
+
+type lockedLog struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// A call that is not served has its story told, with each attempt; one served in time
+// has none.
+func TestStoryOfALostCall(t *testing.T) {
+	set := testSettings()
+	pool := upstream.New(upstream.Config{ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MostConns: 10})
+	var log lockedLog
+	h, err := core.New(core.Config{Settings: set, Seed: 1, Transport: pool, Story: slog.New(slog.NewJSONHandler(&log, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	s := newServer(t, func(n int, _ *http.Request, _ string) string {
+		if n == 0 {
+			return ok("x")
+		}
+		return "close"
+	})
+	h.Listed(&membership.List{Whole: true, Entries: []membership.Entry{{Endpoint: chalkrack.Endpoint{Name: "s0", Zone: "z", Hint: 1}, Address: s.addr}}})
+	h.SetReady(true)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go front.New(front.Config{MostConns: 10, MostBody: 1 << 20}, h).Serve(ln)
+	for n, want := range []int{200, 502} {
+		r, _ := http.NewRequest("POST", "http://"+ln.Addr().String()+"/u", strings.NewReader("x"))
+		r.Header.Set("Req-Id", string(rune('a'+n)))
+		r.Header.Set("Req-Retry", "1")
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("%v, %v, want %d", resp, err, want)
+		}
+		resp.Body.Close()
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		log.mu.Lock()
+		text := log.b.String()
+		log.mu.Unlock()
+		if strings.Count(text, "\n") > 0 || time.Now().After(end) {
+			var line struct {
+				Msg   string
+				Story core.Story
+			}
+			if err := json.Unmarshal([]byte(text), &line); err != nil {
+				t.Fatalf("%v in %q", err, text)
+			}
+			st := line.Story
+			if line.Msg != core.StoryMessage || st.Class != "u" || st.End != "failed" || !st.Retry || len(st.Attempts) != 1 || st.Attempts[0].Outcome != "reset" || !st.Attempts[0].Before.Serving || st.State.Members != 1 {
+				t.Errorf("%s", text)
+			}
+			return
+		}
+	}
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -13,11 +13,13 @@
 	"chalkrack/internal/features"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/settings"
+	"chalkrack/internal/spool"
 )
 
 // Config is what a sidecar is told at its start.
 type Config struct {
 	Features *features.File
+	Disk     spool.FS // where files of bodies are made; nil: the system's
 
 	listen, discovery string
 	seed              uint64
@@ -86,7 +88,16 @@
 	if c.Features, err = features.Read(path); err != nil {
 		return nil, err
 	}
-	return c, c.Features.CheckClasses(func(name string) bool { return c.settings.Class([]byte(name)) >= 0 })
+	if err := c.Features.CheckClasses(func(name string) bool { return c.settings.Class([]byte(name)) >= 0 }); err != nil {
+		return nil, err
+	}
+	inMemory := false
+	if b := &c.Features.Bodies; b.Enabled && b.Folder != "" {
+		if inMemory, err = spool.InMemory(b.Folder); err != nil {
+			return nil, err
+		}
+	}
+	return c, c.Features.CheckPlatform(c.memoryMB, c.sockets, inMemory)
 }
 
 func load(getenv func(string) string) (*Config, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"time"
 
+	"chalkrack/internal/admin"
 	"chalkrack/internal/change"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
@@ -48,7 +49,15 @@
 // Run serves until term, and then until all that was taken is answered. At each hup
 // it reads the configuration anew. ready is told the address once it serves; nil: nobody.
 func Run(c *Config, term, hup <-chan os.Signal, ready func(net.Addr)) error {
+	store, err := newStore(c)
+	if err != nil {
+		return err
+	}
 	conns := c.sockets - socketsSpare
+	if store != nil {
+		defer store.Close()
+		conns -= filesOf(c)
+	}
 	pool := upstream.New(upstream.Config{
 		ConnIdle:    c.settings.ConnIdle,
 		DialTimeout: c.settings.DialTimeout,
@@ -66,7 +75,7 @@
 		c.known.Whole = true
 		watcher.Index = c.known.Index
 	}
-	host, err := core.New(core.Config{Settings: c.settings, Seed: c.seed, Transport: pool, Directory: watcher})
+	host, err := core.New(core.Config{Settings: c.settings, Seed: c.seed, Transport: pool, Directory: watcher, Story: stories(c)})
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -90,7 +99,14 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Paths: c.Features.Paths}, host)
+	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Paths: c.Features.Paths, Bodies: frontBodies(c, store)}, host)
+	if path := c.Features.Admin.Socket; path != "" {
+		operators, err := admin.Listen(path, pages(c, host, srv, pool, store))
+		if err != nil {
+			return err
+		}
+		defer operators.Close()
+	}
 	go srv.Serve(ln)
 	defer ln.Close()
 
@@ -136,6 +152,14 @@
 	}
 }
 
+// stories is where the stories of calls go, nil if nobody asked for them.
+func stories(c *Config) *slog.Logger {
+	if !c.Features.Log.Stories {
+		return nil
+	}
+	return slog.New(slog.NewJSONHandler(os.Stderr, nil))
+}
+
 // reload takes the address of discovery from the configuration as it is now. One
 // that is bad leaves the old in force.
 func reload(c *Config, watcher *discovery.Watcher) {
--- a/internal/features/decode.go
+++ b/internal/features/decode.go
@@ -139,4 +139,13 @@
 	}
 }
 
+// all is the complaints in the order of their lines, nil if there are none.
+func (c *checker) all() error {
+	if len(c.bad) == 0 {
+		return nil
+	}
+	c.bad.sort()
+	return c.bad
+}
+
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -26,6 +26,12 @@
 	Paths map[string]string `toml:"paths"`
 	// Radius takes counter terminals.
 	Radius Radius `toml:"radius"`
+	// Bodies keeps request bodies for another attempt.
+	Bodies Bodies `toml:"bodies"`
+	// Log says what is logged beside the usual.
+	Log Log `toml:"log"`
+	// Admin is the operators' socket.
+	Admin Admin `toml:"admin"`
 
 	name  string
 	lines index
@@ -38,8 +44,17 @@
 	PassClientErrors bool `toml:"pass_client_errors"`
 }
 
+// Log is the section [log].
+type Log struct {
+	// Stories writes a line for each call that was not served within its aim, with all
+	// that was known, as JSON to standard error.
+	Stories bool `toml:"stories"`
+}
+
 // Default is a file that says nothing.
-func Default() *File { return &File{Version: Version, Radius: radiusDefault()} }
+func Default() *File {
+	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault()}
+}
 
 // Problem is one complaint about a file.
 type Problem struct {
@@ -114,17 +129,29 @@
 		c.need(f.Paths[path] != "", "paths."+path, "names no class")
 	}
 	f.Radius.check(c)
+	f.Bodies.check(c)
+	c.need(f.Admin.Socket == "" || len(f.Admin.Socket) <= socketMost, "admin.socket", "must be %d bytes long at most", socketMost)
 }
 
+// socketMost is the longest path of a Unix socket (unix(7)), less what its making adds.
+const socketMost = 90
+
 // CheckClasses says which classes are named that the platform's settings do not have.
 func (f *File) CheckClasses(known func(name string) bool) error {
 	c := &checker{file: f}
 	for _, path := range sorted(f.Paths) {
 		c.need(known(f.Paths[path]), "paths."+path, "there is no class %q", f.Paths[path])
 	}
-	if len(c.bad) > 0 {
-		c.bad.sort()
-		return c.bad
+	for _, name := range sorted(f.Bodies.Shares) {
+		c.need(known(name), "bodies.shares."+name, "there is no class %q", name)
 	}
-	return nil
+	return c.all()
+}
+
+// CheckPlatform holds the file against the platform's limits. inMemory says that the
+// folder of bodies lies in memory.
+func (f *File) CheckPlatform(memoryMB, sockets int, inMemory bool) error {
+	c := &checker{file: f}
+	f.Bodies.checkPlatform(c, memoryMB, sockets, inMemory)
+	return c.all()
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"chalkrack/internal/body"
 	"chalkrack/internal/core"
 	"chalkrack/internal/message"
 )
@@ -19,9 +20,11 @@
 	Request message.Request
 
 	conn     *conn
-	body     [][]byte
 	reserved int64
-	keep     bool // the connection may go on
+	kept     *body.Body // nil: none, or Request has it
+	tier     bool       // a tier before this one has marked it
+	unread   bool       // its client is still sending it; guarded by the server's lock
+	keep     bool       // the connection may go on
 	http10   bool
 }
 
@@ -54,29 +57,40 @@
 		x.Wait = max(time.Duration(ms)*time.Millisecond, 1)
 	}
 	if mark := r.Header[message.AttemptsField]; mark != nil {
-		x.Limits = limits(mark)
+		x.Limits, x.tier = limits(mark), true
 	}
 	x.Tenant = r.Header.Get("Req-Owner")
+	x.Retry = r.Header.Get("Req-Retry") != ""
 	if r.Header.Get("Cookie") != "" {
 		if c, err := r.Cookie("user"); err == nil {
 			x.Key = c.Value
 		}
 	}
-	uri := r.RequestURI
-	if !strings.HasPrefix(uri, "/") {
-		uri = r.URL.RequestURI()
-	}
+	return 0
+}
+
+// compose readies a request with a body that lies in memory.
+func (x *Exchange) compose(r *http.Request, body [][]byte) {
 	size := int64(-1)
-	if x.body != nil || r.Method != http.MethodGet && r.Method != http.MethodHead {
+	if body != nil || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		size = 0
-		for _, p := range x.body {
+		for _, p := range body {
 			size += int64(len(p))
 		}
 	}
+	x.composeHead(r, size)
+	x.Request.Body = body
+}
+
+// composeHead readies a request with a body of that size, -1 for none or one in chunks.
+func (x *Exchange) composeHead(r *http.Request, size int64) {
+	uri := r.RequestURI
+	if !strings.HasPrefix(uri, "/") {
+		uri = r.URL.RequestURI()
+	}
 	b := message.AppendHead(make([]byte, 0, 512), r.Method, uri, r.Host, r.Header, size)
-	x.Request = message.Request{Method: r.Method, Head: b, Body: x.body}
+	x.Request = message.Request{Method: r.Method, Head: b}
 	x.Payload, x.Caller = &x.Request, x
-	return 0
 }
 
 // limits reads what the tier before leaves to this one. What makes no sense leaves one
@@ -99,16 +113,17 @@
 func (x *Exchange) Refuse(retryAfter time.Duration, unsent bool) {
 	field := ""
 	if retryAfter > 0 {
-		field = "Retry-After: " + strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64) + "\r\n"
+		field = retryField(retryAfter)
 	}
-	if unsent && x.Limits != nil {
+	if unsent && x.tier {
 		field += "Srv-Declined: 1\r\n"
 	}
+	field += x.unkept(true)
 	x.answer(http.StatusServiceUnavailable, field, nil, nil)
 }
 
 // Fail implements core.Caller: the client is told that the request failed.
-func (x *Exchange) Fail() { x.answer(http.StatusBadGateway, "", nil, nil) }
+func (x *Exchange) Fail() { x.answer(http.StatusBadGateway, x.unkept(false), nil, nil) }
 
 // Serve implements core.Caller: a server's whole answer, a *message.Answer, is passed
 // on.
@@ -137,7 +152,7 @@
 // next request.
 func (x *Exchange) answer(status int, field string, h http.Header, body []byte) {
 	c := x.conn
-	x.keep = x.keep && !c.srv.closing()
+	x.keep = x.keep && !c.srv.closing(x)
 	buf := buffers.Get().(*[]byte)
 	b := message.AppendLength(x.head((*buf)[:0], status, field, h), int64(len(body)))
 	b = append(b, "\r\n"...)
@@ -167,10 +182,12 @@
 	return b
 }
 
-func (s *Server) closing() bool {
+// closing says whether a connection ends with an answer: the server drains, or the
+// client still sends what nobody will read as a request.
+func (s *Server) closing(x *Exchange) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining
+	return s.draining || x.unread
 }
 
 // end frees the connection of an answered request. Guards against one that counts
@@ -188,15 +205,19 @@
 	}
 	c.x, c.busy, c.since = nil, false, time.Now()
 	c.shut = c.shut || !keep
+	linger := ok && x.unread // its reader closes it, when the client can have seen the answer
 	s.mu.Unlock()
-	if !keep {
+	if !keep && !linger {
 		c.nc.Close()
 	}
 	c.served.Signal()
 }
 
-// Release implements core.Caller: it gives the body's bytes back to the budget.
+// Release implements core.Caller: it gives the body's bytes back.
 func (x *Exchange) Release() {
+	if x.kept != nil {
+		x.kept.Drop()
+	}
 	x.conn.srv.budget.give(x.reserved)
 	x.reserved = 0
 }
@@ -219,7 +240,7 @@
 func (x *Exchange) Stream(answer any, _ func()) core.Stream {
 	ans := answer.(*message.Answer)
 	w := &Stream{x: x, left: ans.Length}
-	x.keep = x.keep && !x.conn.srv.closing()
+	x.keep = x.keep && !x.conn.srv.closing(x)
 	if ans.Length < 0 {
 		w.chunked = !x.http10
 		x.keep = x.keep && w.chunked
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -47,6 +47,8 @@
 	Ready() bool
 	// Known says whether there is a class of that name.
 	Known(class string) bool
+	// Whole says that the body of a call that came before it is whole.
+	Whole(c *core.Call)
 }
 
 // Config is what a Server is told.
@@ -56,6 +58,8 @@
 	// Paths has the class of requests to some exact paths. Elsewhere the first part of
 	// the path is the class.
 	Paths map[string]string
+	// Bodies keeps request bodies; nil: all are held in memory, within MostBody.
+	Bodies *Bodies
 }
 
 // Server serves the client.
@@ -262,9 +266,16 @@
 				slog.Warn("request turned away: its id is taken", "class", x.Class)
 				x.answer(http.StatusConflict, "", nil, nil)
 				x.Release()
+				if x.unread {
+					c.linger()
+					return
+				}
 				continue
 			}
 			c.srv.handler.Arrive(&x.Call)
+			if x.kept != nil && x.kept.Coming() && !c.forward(x) {
+				return
+			}
 		}
 	}
 }
@@ -348,6 +359,9 @@
 		return nil, http.StatusBadRequest
 	}
 	c.in.left = math.MaxInt64
+	if c.srv.cfg.Bodies != nil {
+		return c.readKept(r, crowded)
+	}
 	if r.ContentLength > bodyMost {
 		return nil, http.StatusRequestEntityTooLarge
 	}
@@ -360,8 +374,10 @@
 		return nil, status
 	}
 	c.nc.SetReadDeadline(time.Time{})
-	x := &Exchange{Call: core.Call{Received: time.Now()}, conn: c, body: body, reserved: kept, keep: !r.Close}
-	status = x.parse(r, c.srv.handler)
+	x := &Exchange{Call: core.Call{Received: time.Now()}, conn: c, reserved: kept, keep: !r.Close}
+	if status = x.parse(r, c.srv.handler); status == 0 {
+		x.compose(r, body)
+	}
 	switch {
 	case r.URL.Path == "/_health":
 		status = http.StatusOK
@@ -498,11 +514,18 @@
 // what the client still sends: closing at once would take the answer back. What it
 // sends beyond lingerBytes is not worth the reading. Meanwhile the connection counts
 // as idle, so that it gives way to others.
-func (c *conn) reject(status int) {
+func (c *conn) reject(status int) { c.rejectWith(status, "") }
+
+func (c *conn) rejectWith(status int, field string) {
 	x := &Exchange{conn: c}
-	b := append(message.AppendLength(x.head(nil, status, "", nil), 0), "\r\n"...)
+	b := append(message.AppendLength(x.head(nil, status, field, nil), 0), "\r\n"...)
 	c.nc.SetWriteDeadline(time.Now().Add(lingerMost))
 	c.nc.Write(b)
+	c.linger()
+}
+
+// linger reads off what the client still sends, for a while.
+func (c *conn) linger() {
 	if tc, ok := c.nc.(*net.TCPConn); ok {
 		tc.CloseWrite()
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -42,6 +42,7 @@
 	return true
 }
 
+func (f *fake) Whole(*core.Call)         {}
 func (f *fake) Ready() bool              { return true }
 func (f *fake) Known(class string) bool  { return class == "a" }
 func answerWhole(x *Exchange, b string)  { x.Serve(&message.Answer{Body: []byte(b)}); x.Release() }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -13,7 +13,13 @@
 	Method string
 	Head   []byte   // request line and header fields, but for the deadline and the empty line
 	Body   [][]byte // in pieces
-	Marked bool     // each attempt tells the next tier that it is decided here
+	Source Source   // a body of another kind; nil: Body has it whole
+	// Again is called when a further attempt is made with Body; nil: nobody counts them.
+	Again func()
+	// Chunked says that Source goes on in chunks (RFC 9112 section 7.1): Head tells no
+	// length.
+	Chunked bool
+	Marked  bool // each attempt tells the next tier that it is decided here
 }
 
 // Answer is a server's answer.
@@ -76,3 +82,21 @@
 	b = strconv.AppendInt(b, n, 10)
 	return append(b, "\r\n"...)
 }
+
+// Source is a body that attempts read, each from its beginning.
+type Source interface {
+	// Open begins a reading. The error says that the body can't be read, or not again.
+	Open() (Reading, error)
+	// Length is how long it is, -1 while that is not known.
+	Length() int64
+}
+
+// Reading is one attempt's. Close may be called from another goroutine than Next.
+type Reading interface {
+	// Next returns the next piece, good until the call after it, and waits for one that
+	// has not come yet; io.EOF says that the last one has been. Another error says that
+	// no more comes.
+	Next() ([]byte, error)
+	// Close ends the reading, also one that waits in Next.
+	Close()
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -10,11 +10,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"chalkrack/internal/daemon"
+	"chalkrack/internal/spool"
 	"chalkrack/internal/standin"
 )
 
@@ -52,6 +54,15 @@
 	NoHedge  bool                 // copies are allowed and their budget is next to nothing
 	ColdFrom float64
 	ColdFor  time.Duration
+	Zones    []string // of the servers, in turn; the daemon is in the first. Empty: one
+}
+
+// zone is that of the n-th server.
+func (c *SiteConfig) zone(n int) string {
+	if len(c.Zones) == 0 {
+		return "z"
+	}
+	return c.Zones[n%len(c.Zones)]
 }
 
 // Site is a fleet of stand-ins with its discovery.
@@ -92,7 +103,7 @@
 // Endpoint is the entry of the n-th server, from 0.
 func (s *Site) Endpoint(n int, status string) standin.Endpoint {
 	server := s.Servers[n]
-	e := standin.Endpoint{Name: server.Name(), Address: server.Addr(), Zone: "z", Status: status, Weight: 1}
+	e := standin.Endpoint{Name: server.Name(), Address: server.Addr(), Zone: s.Config.zone(n), Status: status, Weight: 1}
 	if s.Config.ColdFor > 0 {
 		e.SinceMs = server.Started().UnixMilli()
 	}
@@ -137,7 +148,7 @@
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
 		"known":  map[string]any{"index": 1, "snapshot": true, "endpoints": list},
 		"settings": map[string]any{
-			"replicasOfMe": 1, "zone": "z",
+			"replicasOfMe": 1, "zone": s.Config.zone(0),
 			"caps": map[string]any{"attemptsCap": attempts, "mayCancel": true, "secondCopies": !s.Config.NoCopies, "retryAfter": true,
 				"maxRetryAfterUs": 1000000, "connIdleUs": 15000000, "dialTimeoutUs": 250000, "mostHeld": 4096},
 			"costs": map[string]any{"waste": waste},
@@ -209,6 +220,11 @@
 // StartDaemon runs a daemon within this process, on a port that the system picks.
 // features is the text of its features file.
 func (s *Site) StartDaemon(seed uint64, features string) (*Daemon, error) {
+	return s.StartDaemonOn(nil, seed, features)
+}
+
+// StartDaemonOn does so with files of bodies on a disk of the caller's.
+func (s *Site) StartDaemonOn(disk spool.FS, seed uint64, features string) (*Daemon, error) {
 	d, err := s.files("127.0.0.1:0", seed, features)
 	if err != nil {
 		return nil, err
@@ -221,6 +237,7 @@
 		os.RemoveAll(d.dir)
 		return nil, err
 	}
+	c.Disk = disk
 	ready := make(chan string, 1)
 	go func() { d.done <- daemon.Run(c, d.term, nil, func(a net.Addr) { ready <- a.String() }) }()
 	select {
@@ -306,6 +323,22 @@
 	os.RemoveAll(d.dir)
 }
 
+// Resident is the most memory, in bytes, that the process has had resident so far; 0
+// where that can't be read.
+func (d *Daemon) Resident() int64 {
+	if d.cmd == nil || d.cmd.Process == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	kb := int64(0)
+	fmt.Sscanf(strings.TrimSpace(rest), "%d", &kb)
+	return kb << 10
+}
+
 // CPU is what the process had used when it ended last; 0 while it has not.
 func (d *Daemon) CPU() time.Duration { return d.cpu }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -228,6 +228,15 @@
 // Class is the place of a class, -1 if there is none of that name.
 func (s *Settings) Class(name []byte) int { return index(s.classes, name) }
 
+// Names are the classes' names, by their places.
+func (s *Settings) Names() []string {
+	names := make([]string, len(s.classes))
+	for name, n := range s.classes {
+		names[n] = name
+	}
+	return names
+}
+
 // Tenant is the place of a tenant, -1 if there is none of that name.
 func (s *Settings) Tenant(name []byte) int { return index(s.tenants, name) }
 
--- a/internal/standin/act.go
+++ b/internal/standin/act.go
@@ -63,6 +63,9 @@
 	Delay  time.Duration // between the request's last byte and the answer
 	Status int           // for Deny
 	Body   string        // of a good answer; empty: a word with the request's id
+	// Early answers at the request's head, reads a little of its body and ends the
+	// connection. It does not arrive.
+	Early bool
 }
 
 // Request is what a Script sees.
@@ -71,9 +74,12 @@
 	Nth            int // of the request's arrivals at all servers, from 1
 	Server         string
 	Header         http.Header
-	Body           string
+	Body           string // of a longer one than bodyMost the beginning
 }
 
+// bodyMost is how much of a body a Script sees. All of it is booked by size and sum.
+const bodyMost = 64 << 10
+
 // Script says what a server does with a request. It is called from many goroutines.
 type Script func(r Request) Act
 
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -33,6 +33,8 @@
 	At             time.Time
 	Act            Kind
 	Draining       time.Duration // for how long the server had been draining; 0: it was not
+	Size           int64         // of its body
+	Sum            [32]byte      // SHA-256 of its body
 }
 
 // Ledger is what all servers of a fleet have received.
@@ -100,6 +102,12 @@
 	entry(l.byClass, class).Effects++
 }
 
+// Book books a request that arrived and took effect, as a server does.
+func (l *Ledger) Book(id, class, key string) {
+	l.arrived(Arrival{ID: id, Class: class, Key: key, At: time.Now()})
+	l.ran(id, class, key)
+}
+
 // ID is the count of one request.
 func (l *Ledger) ID(id string) Count {
 	l.mu.Lock()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
@@ -41,6 +42,7 @@
 	frozen   bool
 	started  time.Time
 	drained  time.Time // zero: it does not drain
+	noted    time.Time // by NoteDrain
 	turn     time.Time // when the request that came last has been served
 	recent   []time.Time
 	fallen   bool
@@ -73,7 +75,7 @@
 
 func (s *Server) run(ln net.Listener) {
 	s.mu.Lock()
-	s.ln, s.started, s.drained = ln, time.Now(), time.Time{}
+	s.ln, s.started, s.drained, s.noted = ln, time.Now(), time.Time{}, time.Time{}
 	s.mu.Unlock()
 	s.handlers.Add(1)
 	go func() {
@@ -145,6 +147,19 @@
 	}
 }
 
+// NoteDrain books from now on for how long it has been draining, and turns nothing
+// away: a server that drains finishes what comes. NoteUndrain ends that.
+func (s *Server) NoteDrain() { s.note(time.Now()) }
+
+// NoteUndrain ends NoteDrain.
+func (s *Server) NoteUndrain() { s.note(time.Time{}) }
+
+func (s *Server) note(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noted = at
+}
+
 // Kill ends it as a process that dies: connections are reset, new ones refused.
 func (s *Server) Kill() {
 	s.mu.Lock()
@@ -249,19 +264,30 @@
 	}
 	req := Request{ID: r.Header.Get("Req-Id"), Class: class, Key: r.Header.Get("Idempotency-Key"), Server: s.cfg.Name, Header: r.Header}
 	s.mu.Lock()
-	script, drained := s.script, s.drained
+	script, drained, noted := s.script, s.drained, s.noted
 	s.mu.Unlock()
 	req.Nth = s.cfg.Ledger.nth(req.ID)
 	act := script(req)
 	if act.Kind == ResetEarly {
+		if act.Delay > 0 { // in the middle of its body
+			time.Sleep(act.Delay)
+		}
 		return act.answer(c, req)
 	}
-	body, err := io.ReadAll(r.Body)
+	if act.Early {
+		act.answer(c, req)
+		io.CopyN(io.Discard, r.Body, bodyMost)
+		return false
+	}
+	body, size, sum, err := readBody(r.Body)
 	if err != nil {
 		return false
 	}
 	req.Body = string(body)
-	at := Arrival{ID: req.ID, Class: class, Key: req.Key, Server: s.cfg.Name, At: time.Now()}
+	at := Arrival{ID: req.ID, Class: class, Key: req.Key, Server: s.cfg.Name, At: time.Now(), Size: size, Sum: sum}
+	if !noted.IsZero() {
+		at.Draining = max(time.Since(noted), 1)
+	}
 	if !drained.IsZero() {
 		at.Draining = max(time.Since(drained), 1)
 		act = Act{Kind: Decline}
@@ -287,6 +313,15 @@
 	return act.answer(c, req)
 }
 
+// readBody reads a body whole, of any length.
+func readBody(r io.Reader) (begin []byte, size int64, sum [32]byte, err error) {
+	h := sha256.New()
+	if begin, err = io.ReadAll(io.LimitReader(io.TeeReader(r, h), bodyMost)); err == nil {
+		size, err = io.Copy(h, r)
+	}
+	return begin, size + int64(len(begin)), [32]byte(h.Sum(nil)), err
+}
+
 // take books a request against what the server can do now. It says how long the
 // request waits for its turn, and whether it pushes the server over.
 func (s *Server) take(now time.Time) (wait time.Duration, fell bool) {
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,99 @@
+package story
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"chalkrack"
+	"chalkrack/internal/core"
+)
+
+func good() chalkrack.ServerView { return chalkrack.ServerView{Serving: true, Latency: 1, Warmth: 1} }
+
+func one(end string, took float64, a ...core.AttemptStory) core.Story {
+	return core.Story{Class: "activate", Effect: "once", Worth: 10, Aim: 100, End: end, Took: took, Attempts: a,
+		State: chalkrack.StateView{Members: 5, Set: 5, Retries: 5}, StateEnd: chalkrack.StateView{Retries: 5}}
+}
+
+// Each story has one cause, named from what its attempts met.
+func TestCauses(t *testing.T) {
+	at := func(outcome, phase string, took float64) core.AttemptStory {
+		return core.AttemptStory{Server: "s", Took: took, Outcome: outcome, Phase: phase, Before: good(), After: good()}
+	}
+	cold := at("ok", "reading on a new connection", 150)
+	cold.Before.Warmth = 0.3
+	left := at("timed out", "waiting on a connection idle for 20ms after 3 requests", 300)
+	left.After.Serving = false
+	shed := one("refused", 0)
+	shed.State.Level = 0.4
+	empty := one("refused", 0)
+	empty.State.Members = 0
+	poor := one("refused", 20, at("full", "reading on a new connection", 20))
+	poor.Effect, poor.StateEnd.Retries = "safe", 0
+	for want, s := range map[string]core.Story{
+		"shed on arrival":                      shed,
+		"no server is listed":                  empty,
+		"no server to be had":                  one("refused", 0),
+		"late: slow answer from a cold server": one("served", 150, cold),
+		"no answer from a server told to leave meanwhile; past its aim":                    one("failed", 300, left),
+		"reset behind the request, connection in use; may not run twice":                   one("failed", 20, at("reset", "waiting on a connection idle for 20ms after 3 requests", 20)),
+		"reset behind the request, connection that idled over a second; may not run twice": one("failed", 20, at("reset", "waiting on a connection idle for 2.5s after 3 requests", 20)),
+		"no connection to a server known as good; no other server to be had":               one("refused", 20, at("connect failed", "connecting", 20)),
+		"turned away by a server known as good; no retries left in the budget":             poor,
+		"client left: no answer from a server known as good":                               one("left", 90, at("cancelled", "waiting on a new connection", 90)),
+		"late after: turned away by a server known as good":                                one("served", 150, at("full", "reading", 5), at("ok", "reading", 140)),
+	} {
+		if got := Cause(&s); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+// What the core's log writes is read again, other lines are counted, and two logs stand
+// side by side.
+func TestReadAndCompare(t *testing.T) {
+	var b bytes.Buffer
+	log := slog.New(slog.NewJSONHandler(&b, nil))
+	s := one("refused", 0)
+	log.Info(core.StoryMessage, "story", &s)
+	log.Info("another line")
+	b.WriteString("{\"msg\":\"story\",\"story\":7}\nnonsense \"story\"\n")
+	dear := one("failed", 20, core.AttemptStory{Outcome: "reset", Phase: "waiting on a new connection", Before: good(), After: good()})
+	log.Info(core.StoryMessage, "story", &dear)
+	log.Info(core.StoryMessage, "story", &dear)
+	l, none := new(Log), new(Log)
+	if err := l.Read(&b); err != nil || len(l.Stories) != 3 || l.Other != 3 {
+		t.Fatalf("%d stories, %d others, %v", len(l.Stories), l.Other, err)
+	}
+	g := l.Groups("")
+	if len(g) != 2 || g[0].Calls != 2 || g[0].Worth != 20 || g[0].Share < 0.66 || g[0].Share > 0.67 {
+		t.Errorf("%+v", g)
+	}
+	if rows := Compare(l, none, "activate"); len(rows) != 2 || rows[0].A != 2 || rows[0].B != 0 {
+		t.Errorf("%+v", rows)
+	}
+	if len(l.Groups("status-check")) != 0 {
+		t.Error("another class")
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	s := one("refused", 0)
+	text, _ := json.Marshal(map[string]any{"msg": core.StoryMessage, "story": s})
+	f.Add(text)
+	f.Add([]byte(`{"msg":"story","story":{"attempts":[{}],"end":"served"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := new(Log)
+		if l.Read(bytes.NewReader(data)) != nil {
+			return
+		}
+		for _, g := range l.Groups("") {
+			if strings.TrimSpace(g.Cause) == "" {
+				t.Fatalf("no cause: %+v", g.Example)
+			}
+		}
+	})
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -52,7 +52,10 @@
 	ended      bool // abandoned, or its connection is of no more use
 	began      bool // the first byte may have been written
 	wrote      bool
-	readFailed bool // the connection broke before that was known
+	readFailed bool            // the connection broke before that was known
+	sendFailed bool            // the request can't be written any more; its reader tells how it ends
+	reading    message.Reading // of the request's Source, while it is sent
+	lastOut    bool            // the last byte of a Source may have been written
 
 	sentAt time.Time
 
@@ -65,8 +68,12 @@
 
 // Attempt implements core.Transport. The payload is a *message.Request.
 func (p *Pool) Attempt(o core.Order) core.Attempt {
+	r := o.Payload.(*message.Request)
+	if o.N > 0 && r.Again != nil {
+		r.Again()
+	}
 	return &Attempt{
-		Request:  o.Payload.(*message.Request),
+		Request:  r,
 		Server:   o.Server,
 		N:        o.N,
 		Deadline: o.Deadline,
@@ -102,7 +109,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
-	return a.began
+	return a.began && (a.Request.Source == nil || a.lastOut)
 }
 
 // Phase tells for the log how far an attempt came.
@@ -129,6 +136,7 @@
 	a.mu.Lock()
 	c := a.conn
 	a.mu.Unlock()
+	a.stopReading()
 	if c == nil {
 		return
 	}
@@ -206,17 +214,14 @@
 		return
 	}
 	hold := a.Once && a.pool.brittle()
+	if a.Request.Source != nil {
+		a.sendSource(c, hold)
+		return
+	}
 	a.began, a.sentAt = !hold, time.Now()
 
 	buf := buffers.Get().(*[]byte)
-	head := append((*buf)[:0], a.Request.Head...)
-	head = append(head, "Req-Deadline-Ms: "...)
-	head = strconv.AppendInt(head, max(1, time.Until(a.Deadline).Milliseconds()), 10)
-	if a.Request.Marked {
-		head = append(head, "\r\n"+message.AttemptsField+": 1; nth="...)
-		head = strconv.AppendInt(head, int64(a.N+1), 10)
-	}
-	head = append(head, "\r\n\r\n"...)
+	head := a.appendHead((*buf)[:0])
 	size := len(head)
 	for _, piece := range a.Request.Body {
 		size += len(piece)
@@ -254,6 +259,20 @@
 	}()
 }
 
+func (a *Attempt) appendHead(head []byte) []byte {
+	head = append(head, a.Request.Head...)
+	if a.Request.Chunked {
+		head = append(head, "Transfer-Encoding: chunked\r\n"...)
+	}
+	head = append(head, "Req-Deadline-Ms: "...)
+	head = strconv.AppendInt(head, max(1, time.Until(a.Deadline).Milliseconds()), 10)
+	if a.Request.Marked {
+		head = append(head, "\r\n"+message.AttemptsField+": 1; nth="...)
+		head = strconv.AppendInt(head, int64(a.N+1), 10)
+	}
+	return append(head, "\r\n\r\n"...)
+}
+
 // commitAfter is how long the last byte of a request is held back: the word of a
 // broken connection has come by then from any zone.
 const commitAfter = 3 * time.Millisecond
@@ -351,8 +370,11 @@
 // broken takes a connection's end before any byte of an answer.
 func (a *Attempt) broken() {
 	a.mu.Lock()
-	wrote, held := a.wrote, a.held
+	wrote, held, failed := a.wrote, a.held, a.sendFailed
 	a.readFailed = true
+	if !wrote {
+		defer a.stopReading()
+	}
 	early := (a.began || held) && !a.ended && time.Since(a.sentAt) < a.pool.early
 	a.mu.Unlock()
 	if early {
@@ -361,7 +383,7 @@
 	switch {
 	case wrote:
 		a.done(chalkrack.Reset)
-	case held:
+	case held, failed:
 		a.done(chalkrack.ConnectFailed)
 	}
 }
@@ -417,7 +439,11 @@
 	}()
 	a.mu.Lock()
 	a.answering = true
+	early := a.Request.Source != nil && !a.lastOut
 	a.mu.Unlock()
+	if early { // the answer holds, and the rest is not sent
+		defer a.stopReading()
+	}
 	resp, err := c.readHead(a.Request.Method)
 	if err != nil {
 		slog.Warn("bad answer", "server", a.Server, "err", err)
@@ -433,7 +459,7 @@
 		a.done(chalkrack.Reset)
 		return false
 	}
-	good := resp.StatusCode == http.StatusOK || a.pool.cfg.PassClientErrors && clientError(resp.StatusCode)
+	good := resp.StatusCode == http.StatusOK || (a.pool.cfg.PassClientErrors || early) && clientError(resp.StatusCode)
 	if long && good {
 		return a.stream(c, resp, ans, rep)
 	}
@@ -444,8 +470,8 @@
 		return goesOn
 	}
 	o := chalkrack.ServerError
-	if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) && resp.Header.Get("Srv-Declined") == "1" {
-		o = chalkrack.Full
+	if s := resp.StatusCode; (s == http.StatusServiceUnavailable || s == http.StatusGatewayTimeout) && (early || resp.Header.Get("Srv-Declined") == "1") {
+		o = chalkrack.Full // before its last byte no server begins a request
 	}
 	a.Sink.Done(o, ans, rep)
 	return goesOn
--- a/pick.go
+++ b/pick.go
@@ -48,23 +48,22 @@
 
 // server is one member as this balancer sees it.
 type server struct {
-	name, zone          string
-	hash                uint64
-	group               int
-	hint                float64 // the list's capacity hint, 1 where it gives none
-	learned             float64 // corrects the hint by what was seen
-	started, warmAt     time.Duration
-	serving, inSet      bool // listed as serving; in the working set
-	inFlight            int
-	failures, ejections int // in a row; for the backoff
-	ejectedUntil        time.Duration
-	latSum, latN        float64 // fading sum and weight of relative latencies
-	load                float64 // last load report, in requests held
-	latAt, loadAt       time.Duration
-	learnedAt           time.Duration
-	priority            float64 // order among members, lowest first
-	cold                bucket  // sends that it may get while cold
-	barred              []bar   // by class, once one has failed
+	name, zone      string
+	hash            uint64
+	group           int
+	hint            float64 // the list's capacity hint, 1 where it gives none
+	learned         float64 // corrects the hint by what was seen
+	started, warmAt time.Duration
+	serving, inSet  bool // listed as serving; in the working set
+	inFlight        int
+	out             bar     // ejects it for all classes
+	latSum, latN    float64 // fading sum and weight of relative latencies
+	load            float64 // last load report, in requests held
+	latAt, loadAt   time.Duration
+	learnedAt       time.Duration
+	priority        float64 // order among members, lowest first
+	cold            bucket  // sends that it may get while cold
+	barred          []bar   // by class, once one has failed
 }
 
 // bar keeps a class from a server that fails it. Guards against one that fails a
@@ -129,9 +128,8 @@
 	}
 	if e.Started > s.started {
 		// A restarted process has none of its old faults and none of its speed.
-		s.failures, s.ejections, s.ejectedUntil = 0, 0, 0
 		// What its bucket saved up while it was warm would come as one burst.
-		s.latSum, s.latN, s.learned, s.cold, s.barred = 0, 0, 1, bucket{1, now}, nil
+		s.latSum, s.latN, s.learned, s.cold, s.out, s.barred = 0, 0, 1, bucket{1, now}, bar{}, nil
 	}
 	s.started, s.warmAt = e.Started, 0
 	if e.Started > 0 {
@@ -166,7 +164,7 @@
 // refresh rebuilds the sampling table when it is old or what it stands on changed.
 func (f *fleet) refresh(now time.Duration) {
 	ejected := len(f.ejected)
-	f.ejected = slices.DeleteFunc(f.ejected, func(s *server) bool { return now >= s.ejectedUntil || !s.serving })
+	f.ejected = slices.DeleteFunc(f.ejected, func(s *server) bool { return now >= s.out.until || !s.serving })
 	f.dirty = f.dirty || len(f.ejected) < ejected
 	if !f.dirty && now-f.fresh < samplerAge {
 		return
@@ -179,7 +177,7 @@
 	sum := 0.0
 	for _, s := range f.set {
 		w := s.hint * s.learned * f.warmth(s, now)
-		if now < s.ejectedUntil {
+		if now < s.out.until {
 			w = 0
 		}
 		sum += w
@@ -205,7 +203,7 @@
 	f.set = f.set[:0]
 	for _, ejected := range []bool{false, true} {
 		for i := 0; i < len(f.members) && len(f.set) < size; i++ {
-			if s := f.members[i]; now < s.ejectedUntil == ejected {
+			if s := f.members[i]; now < s.out.until == ejected {
 				s.inSet = true
 				f.set = append(f.set, s)
 			}
@@ -246,8 +244,8 @@
 	}
 	n := len(f.members)
 	start := int(f.rand() * float64(n))
-	for i := 0; i < n && (best == nil || now < best.ejectedUntil); i++ {
-		if s := f.members[(start+i)%n]; ok(s) && f.coldRoom(s, now) && (best == nil || now >= s.ejectedUntil) {
+	for i := 0; i < n && (best == nil || now < best.out.until); i++ {
+		if s := f.members[(start+i)%n]; ok(s) && f.coldRoom(s, now) && (best == nil || now >= s.out.until) {
 			best = s
 		}
 	}
@@ -344,18 +342,25 @@
 	}
 }
 
+// trip counts a failure, and sets the bar when they add up, unless it is set or too
+// many others have theirs.
+func (f *fleet) trip(b *bar, others int, now time.Duration) bool {
+	if b.failures++; b.failures < ejectAfter || now < b.until || float64(others+1) > ejectShare*float64(len(f.members)) {
+		return false
+	}
+	span := min(ejectBase<<min(b.spells, 10), ejectMax)
+	b.spells++
+	b.failures = ejectAfter - 1 // one more failure on return sets it again
+	b.until = now + span/2 + time.Duration(f.rand()*float64(span))
+	return true
+}
+
 // failed counts a failure against a server and ejects it when they add up.
 func (f *fleet) failed(s *server, now time.Duration) {
-	s.failures++
-	if s.failures < ejectAfter || now < s.ejectedUntil || float64(len(f.ejected)+1) > ejectShare*float64(len(f.members)) {
-		return
+	if f.trip(&s.out, len(f.ejected), now) {
+		f.ejected = append(f.ejected, s)
+		f.dirty = true
 	}
-	span := min(ejectBase<<min(s.ejections, 10), ejectMax)
-	s.ejections++
-	s.failures = ejectAfter - 1 // one more failure on return ejects it again
-	s.ejectedUntil = now + span/2 + time.Duration(f.rand()*float64(span))
-	f.ejected = append(f.ejected, s)
-	f.dirty = true
 }
 
 // classFailed counts an error of a class against a server, and bars it for that class
@@ -364,19 +369,13 @@
 	if s.barred == nil {
 		s.barred = make([]bar, len(f.cfg.Classes))
 	}
-	b, share := &s.barred[class], 1.0
+	others := 0
 	for _, m := range f.members {
 		if m.barredFor(class, now) {
-			share++
+			others++
 		}
 	}
-	if b.failures++; b.failures < ejectAfter || now < b.until || share > ejectShare*float64(len(f.members)) {
-		return
-	}
-	span := min(ejectBase<<min(b.spells, 10), ejectMax)
-	b.spells++
-	b.failures = ejectAfter - 1
-	b.until = now + span/2 + time.Duration(f.rand()*float64(span))
+	f.trip(&s.barred[class], others, now)
 }
 
 func (s *server) barredFor(class int, now time.Duration) bool {
--- a/reissue.go
+++ b/reissue.go
@@ -72,11 +72,6 @@
 	return reissuer{budget: budget, q: budget, tokens: 1}
 }
 
-func (r *reissuer) addPrimary(s sample) {
-	r.primary.add(s, primaryWindow)
-	r.fresh++
-}
-
 func (r *reissuer) recompute(now time.Duration, jitter float64) {
 	if r.fresh < recomputeEvery || now < r.due {
 		return
--- a/reissue_test.go
+++ b/reissue_test.go
@@ -91,15 +91,15 @@
 		t.Fatalf("starts at d=%v q=%v, want d=0 and q=B", r.d, r.q)
 	}
 	for range recomputeEvery - 3 {
-		r.addPrimary(sample{at: 1})
+		logged(&r, sample{at: 1})
 	}
-	r.addPrimary(sample{at: 50})
-	r.addPrimary(sample{at: 60})
+	logged(&r, sample{at: 50})
+	logged(&r, sample{at: 60})
 	r.recompute(time.Second, 0)
 	if r.d != 0 {
 		t.Error("recomputed on too few samples")
 	}
-	r.addPrimary(sample{at: 70})
+	logged(&r, sample{at: 70})
 	r.recompute(time.Second, 0)
 	local := computeOptimalSingleR(&r.x, &r.x, nil, tailPercentile, r.budget)
 	step := learningRate * float64(recomputeEvery) / primaryWindow * 4
@@ -127,3 +127,8 @@
 		t.Errorf("%d copies for 30 first sends at B = %v", copies, reissueBudget)
 	}
 }
+
+func logged(r *reissuer, s sample) {
+	r.primary.add(s, primaryWindow)
+	r.fresh++
+}
