Kept bodies: tricklers are told to go; ReverseProxy's target hashes as the stand-ins do

Need: the test of slow senders was missing, and the benchmark set a target that discards beside stand-ins that hash. Change: 200 clients that send a byte now and then are told to go while others are served and no bound is passed; the target hashes too.

--- a/internal/rig/bodies_mix_test.go
+++ b/internal/rig/bodies_mix_test.go
@@ -219,7 +219,7 @@
 // httputil.ReverseProxy in the same run.
 // go test ./internal/rig -run '^$' -bench Places -benchtime 1x
 func BenchmarkPlaces(b *testing.B) {
-	sum := func(w http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) }
+	sum := func(_ http.ResponseWriter, r *http.Request) { io.Copy(sha256.New(), r.Body) } // as the stand-ins do
 	target := httptest.NewServer(http.HandlerFunc(sum))
 	defer target.Close()
 	to, _ := url.Parse(target.URL)
--- a/internal/rig/bodies_test.go
+++ b/internal/rig/bodies_test.go
@@ -322,3 +322,52 @@
 func run(name string, args ...string) ([]byte, error) {
 	return exec.Command(name, args...).CombinedOutput()
 }
+
+// Clients that trickle a byte now and then hold no more than the bound, and are told to
+// go in the time that any request has; others' calls go on beside them.
+func TestTricklersAreToldToGo(t *testing.T) {
+	socket := filepath.Join(t.TempDir(), "s")
+	_, d := start(t, 2, bodies(t.TempDir(), socket))
+	var wg sync.WaitGroup
+	began := time.Now()
+	for n := range 200 {
+		wg.Go(func() {
+			c, err := net.Dial("tcp", d.Addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			fmt.Fprintf(c, "POST /activate HTTP/1.1\r\nHost: app\r\nReq-Id: t%d\r\nContent-Length: %d\r\n\r\n", n, 1<<20)
+			go func() {
+				for {
+					if _, err := c.Write([]byte("x")); err != nil {
+						return
+					}
+					time.Sleep(200 * time.Millisecond)
+				}
+			}()
+			line, err := bufio.NewReader(c).ReadString('\n')
+			if err == nil && !strings.HasPrefix(line, "HTTP/1.1 408") && !strings.HasPrefix(line, "HTTP/1.1 503") {
+				t.Errorf("a trickler is told %q", line)
+			}
+		})
+	}
+	for n := range 20 {
+		if status, _, err := post(d.Addr, "activate", fmt.Sprint("o", n), strings.NewReader("x"), 1); status != 200 {
+			t.Errorf("beside tricklers: %d, %v", status, err)
+		}
+	}
+	wg.Wait()
+	if took := time.Since(began); took > patience/2 {
+		t.Errorf("tricklers stayed for %v", took)
+	}
+	var v body.View
+	if err := admin.Ask(context.Background(), socket, "bodies", &v); err != nil {
+		t.Fatal(err)
+	}
+	if v.Memory.Most > v.Memory.Limit || v.Disk.Most > v.Disk.Limit || v.Files.Most > v.Files.Limit || v.Streams.Most > v.Streams.Limit {
+		t.Errorf("beyond a bound: %+v", v)
+	}
+}
