Kept bodies: a test that nobody borrows above the high mark

Change: a test of the mark alone. Measured: it fails without the handling (borrowed above the mark: memory).

--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -409,3 +409,25 @@
 		t.Fatal("good by slow trials")
 	}
 }
+
+// Above the high mark nobody borrows, and what is a class's own is still given.
+func TestNobodyBorrowsWhileTight(t *testing.T) {
+	k, err := New(limits())
+	if err != nil {
+		t.Fatal(err)
+	}
+	put := func(class int, n int64) Place { return k.Put(k.Begin(class, -1, n, false, false), n, false) }
+	for range 3 {
+		put(1, 200) // its share is 300
+	}
+	put(0, 200) // its own, up to the mark of 800
+	if !k.Tight() {
+		t.Fatalf("%+v", k.Usage().Memory)
+	}
+	if p := put(1, 100); p != Nowhere {
+		t.Errorf("borrowed above the mark: %v", p)
+	}
+	if p := put(2, 100); p != Memory {
+		t.Errorf("a class's own above the mark: %v", p)
+	}
+}
