--- a/internal/upstream/source_test.go
+++ b/internal/upstream/source_test.go
@@ -219,3 +219,41 @@
 		})
 	}
 }
+
+// An attempt whose last byte went out may have run, whatever the server says since; one
+// whose last byte did not, can't have.
+func TestAbandonKnowsTheLastByte(t *testing.T) {
+	got := make(chan string, 100)
+	addr, _ := fake(t, func(_ net.Conn, br *bufio.Reader) {
+		p := make([]byte, 1)
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		for { // and no answer
+			if n, err := r.Body.Read(p); n > 0 {
+				got <- string(p)
+			} else if err != nil {
+				return
+			}
+		}
+	})
+	for _, whole := range []bool{false, true} {
+		p := newPool(10)
+		p.Serve("s", addr, 0)
+		s := newSource(3, "ab")
+		a := post(s, newSink(), false)
+		p.Start(a)
+		<-got
+		<-got
+		if whole {
+			s.pieces <- "c"
+			<-got
+		}
+		if began := a.Abandon(); began != whole {
+			t.Errorf("last byte out %v: may have run %v", whole, began)
+		}
+		a.Close()
+		<-s.closed
+	}
+}
