--- a/internal/core/story_test.go
+++ b/internal/core/story_test.go
@@ -84,3 +84,55 @@
 		}
 	}
 }
+
+// still is a transport whose attempts never begin or end.
+type still struct{ core.Transport }
+
+func (still) Serve(string, string, time.Duration) {}
+func (still) Keep(map[string]bool)                {}
+func (still) Attempt(core.Order) core.Attempt     { return still{} }
+func (still) Start()                              {}
+func (still) Abandon() bool                       { return false }
+func (still) Close()                              {}
+func (still) Phase() string                       { return "writing" }
+
+type told struct {
+	core.Caller
+	refused chan bool
+}
+
+func (c told) Refuse(_ time.Duration, unsent bool) { c.refused <- unsent }
+func (c told) Release()                            {}
+
+// A body that its client does not bring in time: the call is refused as one that never
+// ran, and its server is not blamed.
+func TestSlowBodyBlamesNoServer(t *testing.T) {
+	var log lockedLog
+	h, err := core.New(core.Config{Settings: testSettings(), Seed: 1, Transport: still{}, Story: slog.New(slog.NewJSONHandler(&log, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.Close()
+	h.Listed(&membership.List{Whole: true, Entries: []membership.Entry{{Endpoint: chalkrack.Endpoint{Name: "s0", Zone: "z", Hint: 1}, Address: "x"}}})
+	c := told{refused: make(chan bool, 1)}
+	h.Arrive(&core.Call{ID: "1", Class: "u", Wait: 20 * time.Millisecond, Received: time.Now(), Limits: &core.Limits{Coming: 20 * time.Millisecond}, Caller: c})
+	select {
+	case unsent := <-c.refused:
+		if !unsent {
+			t.Error("told as one that may have run")
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer")
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		log.mu.Lock()
+		text := log.b.String()
+		log.mu.Unlock()
+		if text != "" || time.Now().After(end) {
+			if !strings.Contains(text, `"outcome":"not sent"`) || !strings.Contains(text, `"failures":0`) {
+				t.Errorf("the server is blamed: %s", text)
+			}
+			return
+		}
+	}
+}
