--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -34,6 +34,8 @@
 			l.Other++
 			continue
 		}
+		// What collects logs often writes a time or a name ahead of each line.
+		line = line[max(0, bytes.IndexByte(line, '{')):]
 		var entry struct {
 			Msg   string
 			Story *core.Story
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -62,6 +62,7 @@
 	log.Info("another line")
 	b.WriteString("{\"msg\":\"story\",\"story\":7}\nnonsense \"story\"\n")
 	dear := one("failed", 20, core.AttemptStory{Outcome: "reset", Phase: "waiting on a new connection", Before: good(), After: good()})
+	b.WriteString("[3.45] ") // of what collects logs
 	log.Info(core.StoryMessage, "story", &dear)
 	log.Info(core.StoryMessage, "story", &dear)
 	l, none := new(Log), new(Log)
