Streamed bodies: a fast answer keeps its connection; a broken body is answered 400

Cause: new tests run four times over on two cores failed now and then. An answer that came before the request's writer returned dropped a good connection, and a sender's broken body could end its attempt, and with it the call as 503, before the client was told of its 400. Change: the reader waits up to 10 ms for a writer whose last byte is out; the call is ended before its body is marked broken.

--- a/client/keep.go
+++ b/client/keep.go
@@ -124,6 +124,7 @@
 // drop ends the body. Attempts that still read it end.
 func (c *call) drop() {
 	if c.kept != nil {
+		c.kept.Break()
 		c.kept.Drop()
 	}
 	if c.unkept() { // guards against a caller that waits for its body to be taken
--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -302,7 +302,7 @@
 
 // Forward takes the rest of a body that is not kept, no faster than its server does.
 // It ends with nil when the body is whole or nobody wants more of it, else with what
-// reading said; the attempt that reads it then ends before the last byte.
+// reading said; then the call is to be ended, and Break called.
 func (b *Body) Forward() error {
 	s := b.store
 	for {
@@ -328,10 +328,6 @@
 			more, err = b.take(size)
 		}
 		if err != nil {
-			s.mu.Lock()
-			b.err = ErrBroken
-			b.moved.Broadcast()
-			s.mu.Unlock()
 			return err
 		}
 		if !more {
@@ -340,6 +336,15 @@
 	}
 }
 
+// Break says that no more comes: a reading ends with ErrBroken where it is. It is for
+// after the call's end, so that this end is not taken for the attempt's.
+func (b *Body) Break() {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	b.err = ErrBroken
+	b.moved.Broadcast()
+}
+
 // Drop ends the body. Readings that go on may end.
 func (b *Body) Drop() {
 	s := b.store
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -331,6 +331,7 @@
 					var wg sync.WaitGroup
 					wg.Go(func() { got, err = readAll(b) })
 					ferr := b.Forward()
+					b.Break()
 					wg.Wait()
 					if !errors.Is(err, ErrBroken) || len(got) > at {
 						t.Errorf("%d of %d: a reading got %d, %v", at, size, len(got), err)
--- a/internal/front/kept.go
+++ b/internal/front/kept.go
@@ -163,7 +163,11 @@
 		c.linger()
 		return false
 	}
-	if err != nil && s.handler.Gone(&x.Call) {
+	gone := err != nil && s.handler.Gone(&x.Call)
+	if err != nil {
+		x.kept.Break()
+	}
+	if gone {
 		// What was sent of it has no last byte: no server began it.
 		if status := c.badBody(err); status > 0 {
 			c.reject(status)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -53,6 +53,7 @@
 	began      bool // the first byte may have been written
 	wrote      bool
 	readFailed bool            // the connection broke before that was known
+	out        chan struct{}   // closed when the writer of a Source is done
 	sendFailed bool            // the request can't be written any more; its reader tells how it ends
 	reading    message.Reading // of the request's Source, while it is sent
 	lastOut    bool            // the last byte of a Source may have been written
@@ -484,6 +485,9 @@
 }
 
 func (a *Attempt) isWritten() bool {
+	if a.Request.Source != nil {
+		a.waitOut()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.wrote && !a.ended
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -34,7 +34,7 @@
 		a.done(chalkrack.NotSent)
 		return
 	}
-	a.began, a.sentAt, a.reading = true, time.Now(), r
+	a.began, a.sentAt, a.reading, a.out = true, time.Now(), r, make(chan struct{})
 	a.mu.Unlock()
 	go func() {
 		defer a.guard()
@@ -46,6 +46,7 @@
 		failed := a.sent(err == nil)
 		a.sendFailed = broke
 		a.mu.Unlock()
+		close(a.out)
 		switch {
 		case err == nil && !failed:
 		case err == nil:
@@ -64,6 +65,27 @@
 	}()
 }
 
+// outMost is how long an answer waits for its request's writer to say that it is done:
+// the server has all of it, so it is about to.
+const outMost = 10 * time.Millisecond
+
+// waitOut waits for the writer of a request whose last byte is out. Guards a connection
+// that is good against being dropped because its answer was faster than the writer.
+func (a *Attempt) waitOut() {
+	a.mu.Lock()
+	out, wait := a.out, a.lastOut && !a.wrote
+	a.mu.Unlock()
+	if !wait {
+		return
+	}
+	t := time.NewTimer(outMost)
+	defer t.Stop()
+	select {
+	case <-out:
+	case <-t.C:
+	}
+}
+
 // stopReading ends the reading of the body, also one that waits for the client.
 func (a *Attempt) stopReading() {
 	a.mu.Lock()
--- a/internal/upstream/source_test.go
+++ b/internal/upstream/source_test.go
@@ -129,7 +129,12 @@
 			}
 			<-got
 			<-got
-			<-s.closed // its reading has ended
+			<-s.closed                                               // its reading has ended
+			for idle := 0; idle == 0; time.Sleep(time.Millisecond) { // it is told before the connection goes back
+				p.mu.Lock()
+				idle = len(p.servers["s"].idle) + len(conns) - 1
+				p.mu.Unlock()
+			}
 		}
 		if len(conns) != 1 {
 			t.Errorf("%d connections for two requests", len(conns))
