--- a/internal/keep/disk.go
+++ b/internal/keep/disk.go
@@ -30,7 +30,6 @@
 // DiskLimits bound what is taken for a good disk.
 type DiskLimits struct {
 	SlowAfter time.Duration // the mean of calls above which it is slow
-	LateAfter time.Duration // how long one call is waited for
 	RestLeast time.Duration // between its fault and the first trial, and between trials
 	RestMost  time.Duration // the rest doubles up to this with each failed trial
 	Proof     int           // trials in a row that must be good before it is good again
--- a/internal/keep/keep_test.go
+++ b/internal/keep/keep_test.go
@@ -353,7 +353,7 @@
 // The disk's states: what leads to each, and that only a proof of trials leads back.
 func TestDiskStates(t *testing.T) {
 	const ms = time.Millisecond
-	lim := DiskLimits{SlowAfter: 100 * ms, LateAfter: 500 * ms, RestLeast: time.Second, RestMost: 4 * time.Second, Proof: 2}
+	lim := DiskLimits{SlowAfter: 100 * ms, RestLeast: time.Second, RestMost: 4 * time.Second, Proof: 2}
 	for name, fault := range map[State]Fault{Slow: Late, Full: NoRoom, Failing: Broken} {
 		d := NewDisk(lim, 0)
 		d.Call(None, ms, 0)
--- a/internal/load/trace/trace.go
+++ b/internal/load/trace/trace.go
@@ -20,7 +20,7 @@
 // Bounds of a trace.
 const (
 	LineMost    = 64 << 10
-	EntriesMost = 5_000_000 // about 600 MB while it is sorted
+	EntriesMost = 5_000_000 // they are sorted in memory
 	bodyMost    = 1 << 30
 	nameMost    = 1 << 10
 )
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -101,7 +101,7 @@
 	}
 	var err error
 	if cfg.Compress {
-		// One coder at a time and small windows: about 0.5 MB in all.
+		// One coder at a time and small windows: this process may have 32 MB.
 		s.enc, err = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(PieceMost), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(false))
 		if err == nil {
 			s.dec, err = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(PieceMost))
