--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -127,14 +127,10 @@
 		return b.ended(err)
 	}
 	if b.file == nil && !b.spill() {
-		s.mu.Lock()
-		place = s.keeper.Unwritten(b.kept, size, false)
-		s.mu.Unlock()
-		switch place {
-		case keep.Refused:
-			return ErrNoRoom
-		case keep.Nowhere:
-			b.goOn()
+		if err := b.elsewhere(size); err != nil {
+			return err
+		}
+		if b.coming {
 			b.trim(size)
 			return nil
 		}
@@ -152,6 +148,21 @@
 	return b.ended(err)
 }
 
+// elsewhere asks for another place for n bytes whose file can't be written. It may
+// become a body that is not kept.
+func (b *Body) elsewhere(n int64) error {
+	b.store.mu.Lock()
+	place := b.store.keeper.Unwritten(b.kept, n, false)
+	b.store.mu.Unlock()
+	switch place {
+	case keep.Refused:
+		return ErrNoRoom
+	case keep.Nowhere:
+		b.goOn()
+	}
+	return nil
+}
+
 // trim gives back what was booked and did not come.
 func (b *Body) trim(n int64) {
 	b.store.mu.Lock()
@@ -255,14 +266,10 @@
 			b.segs = segs
 			return nil
 		}
-		s.mu.Lock()
-		place := s.keeper.Unwritten(b.kept, int64(len(p)), false)
-		s.mu.Unlock()
-		switch place {
-		case keep.Refused:
-			return ErrNoRoom
-		case keep.Nowhere:
-			b.goOn()
+		if err := b.elsewhere(int64(len(p))); err != nil {
+			return err
+		}
+		if b.coming {
 			b.push(p)
 			return nil
 		}
@@ -286,14 +293,11 @@
 	if b.buf == nil {
 		b.buf = make([]byte, pieceMost)
 	}
-	n, err := b.in.Body.Read(b.buf[:size]) // as it comes, not filled
+	n, err := io.ReadAtLeast(b.in.Body, b.buf[:size], 1) // as it comes, not filled
 	b.trim(size - int64(n))
 	if n > 0 {
 		b.push(b.buf[:n])
 	}
-	if err == nil && n == 0 {
-		err = io.ErrNoProgress
-	}
 	if err = b.ended(err); err != nil {
 		return false, err
 	}
--- a/internal/body/body_test.go
+++ b/internal/body/body_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -157,67 +158,69 @@
 // Two attempts read one body at different speeds while it moves to a file; the fast one
 // wins and the body ends: the slow one ends, the file goes once, nothing is left.
 func TestMovedWhileTwoRead(t *testing.T) {
-	disk := standin.NewDisk()
-	lim := limits()
-	lim.High, lim.Low = 0.4, 0.1
-	s := store(t, disk, lim, patience)
-	p := random(1, 1<<20)
-	disk.Hang() // the move begins and waits
-	first, err := s.Receive(incoming(0, p, true))
-	if err != nil {
-		t.Fatal(err)
-	}
-	second, err := s.Receive(incoming(1, random(2, 1<<20), true))
-	if err != nil {
-		t.Fatal(err)
-	}
-	eventually(t, "nothing moves", func() bool { return disk.Hanging() > 0 })
-	b := first // both may be next; the one that moves is read below, by both
-	s.mu.Lock()
-	if !first.kept.Moving() {
-		b, p = second, random(2, 1<<20)
-	}
-	s.mu.Unlock()
-	slow, err := b.Open()
-	if err != nil {
-		t.Fatal(err)
-	}
-	begin, err := slow.Next()
-	if err != nil || !bytes.Equal(begin, p[:len(begin)]) {
-		t.Fatal("the slow reading's first piece", err)
-	}
-	disk.Resume()
-	eventually(t, "it does not move", func() bool { return b.Place() == keep.File })
-	if v := s.View(); v.Memory.Now < 1<<20 {
-		t.Errorf("memory that a reading holds counts as free: %+v", v.Memory)
-	}
-	got, err := readAll(b) // the fast one, from the file
-	if err != nil || !bytes.Equal(got, p) {
-		t.Fatalf("the fast reading: %d bytes, %v", len(got), err)
-	}
-	n := len(got)
-	for at := len(begin); at < n; { // the slow one goes on from memory
-		q, err := slow.Next()
-		if err != nil || !bytes.Equal(q, p[at:at+len(q)]) {
-			t.Fatalf("the slow reading at %d: %v", at, err)
+	synctest.Test(t, func(t *testing.T) {
+		disk := standin.NewDisk()
+		lim := limits()
+		lim.High, lim.Low = 0.4, 0.1
+		s := store(t, disk, lim, patience)
+		p := random(1, 1<<20)
+		disk.Hang() // the move begins and waits
+		first, err := s.Receive(incoming(0, p, true))
+		if err != nil {
+			t.Fatal(err)
 		}
-		if at += len(q); at > n/2 {
-			break
+		second, err := s.Receive(incoming(1, random(2, 1<<20), true))
+		if err != nil {
+			t.Fatal(err)
 		}
-	}
-	b.Drop() // the winner's answer
-	if _, err := readAll(b); err == nil {
-		t.Error("a body that has ended can be read")
-	}
-	slow.Close()
-	slow.Close()
-	if _, err := slow.Next(); err == nil {
-		t.Error("the loser's reading goes on")
-	}
-	first.Drop()
-	second.Drop()
-	eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
-	eventually(t, "something is held", func() bool { return empty(s) })
+		eventually(t, "nothing moves", func() bool { return disk.Hanging() > 0 })
+		b := first // both may be next; the one that moves is read below, by both
+		s.mu.Lock()
+		if !first.kept.Moving() {
+			b, p = second, random(2, 1<<20)
+		}
+		s.mu.Unlock()
+		slow, err := b.Open()
+		if err != nil {
+			t.Fatal(err)
+		}
+		begin, err := slow.Next()
+		if err != nil || !bytes.Equal(begin, p[:len(begin)]) {
+			t.Fatal("the slow reading's first piece", err)
+		}
+		disk.Resume()
+		eventually(t, "it does not move", func() bool { return b.Place() == keep.File })
+		if v := s.View(); v.Memory.Now < 1<<20 {
+			t.Errorf("memory that a reading holds counts as free: %+v", v.Memory)
+		}
+		got, err := readAll(b) // the fast one, from the file
+		if err != nil || !bytes.Equal(got, p) {
+			t.Fatalf("the fast reading: %d bytes, %v", len(got), err)
+		}
+		n := len(got)
+		for at := len(begin); at < n; { // the slow one goes on from memory
+			q, err := slow.Next()
+			if err != nil || !bytes.Equal(q, p[at:at+len(q)]) {
+				t.Fatalf("the slow reading at %d: %v", at, err)
+			}
+			if at += len(q); at > n/2 {
+				break
+			}
+		}
+		b.Drop() // the winner's answer
+		if _, err := readAll(b); err == nil {
+			t.Error("a body that has ended can be read")
+		}
+		slow.Close()
+		slow.Close()
+		if _, err := slow.Next(); err == nil {
+			t.Error("the loser's reading goes on")
+		}
+		first.Drop()
+		second.Drop()
+		eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
+		eventually(t, "something is held", func() bool { return empty(s) })
+	})
 }
 
 // A disk that fills up, breaks or hangs under a body: it goes on in memory where there
@@ -240,43 +243,45 @@
 			"no room": {2<<20 + 100, 0, keep.Refused},
 		} {
 			t.Run(name+"/"+where, func(t *testing.T) {
-				disk := standin.NewDisk()
-				lim := limits()
-				lim.Memory, lim.Streams, lim.Shares = c.memory, c.streams, []float64{0, 0}
-				lim.High, lim.Low = 1, 0.9
-				s := store(t, disk, lim, 50*time.Millisecond)
-				fail(disk)
-				p := random(9, 3<<20+777)
-				b, err := s.Receive(incoming(0, p, true))
-				if c.place == keep.Refused {
-					if !errors.Is(err, ErrNoRoom) {
-						t.Fatalf("%v, want no room", err)
+				synctest.Test(t, func(t *testing.T) {
+					disk := standin.NewDisk()
+					lim := limits()
+					lim.Memory, lim.Streams, lim.Shares = c.memory, c.streams, []float64{0, 0}
+					lim.High, lim.Low = 1, 0.9
+					s := store(t, disk, lim, 50*time.Millisecond)
+					fail(disk)
+					p := random(9, 3<<20+777)
+					b, err := s.Receive(incoming(0, p, true))
+					if c.place == keep.Refused {
+						if !errors.Is(err, ErrNoRoom) {
+							t.Fatalf("%v, want no room", err)
+						}
+					} else {
+						if err != nil {
+							t.Fatal(err)
+						}
+						if b.Coming() {
+							go b.Forward()
+						}
+						if got, err := readAll(b); err != nil || !bytes.Equal(got, p) {
+							t.Fatalf("%v: read %d of %d, %v", b.Place(), len(got), len(p), err)
+						}
+						if got := b.Place(); got != c.place {
+							t.Errorf("%v, want %v", got, c.place)
+						}
+						b.Drop()
 					}
-				} else {
-					if err != nil {
-						t.Fatal(err)
+					if v := s.View(); v.DiskState == "good" {
+						t.Error("the disk counts as good")
 					}
-					if b.Coming() {
-						go b.Forward()
-					}
-					if got, err := readAll(b); err != nil || !bytes.Equal(got, p) {
-						t.Fatalf("%v: read %d of %d, %v", b.Place(), len(got), len(p), err)
-					}
-					if got := b.Place(); got != c.place {
-						t.Errorf("%v, want %v", got, c.place)
-					}
-					b.Drop()
-				}
-				if v := s.View(); v.DiskState == "good" {
-					t.Error("the disk counts as good")
-				}
-				disk.Resume()
-				disk.Room(-1)
-				disk.NoFiles(nil)
-				disk.ShortWrites(false)
-				eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
-				eventually(t, "something is held", func() bool { return empty(s) })
-				eventually(t, "the disk is not tried again", func() bool { return s.View().DiskState == "good" })
+					disk.Resume()
+					disk.Room(-1)
+					disk.NoFiles(nil)
+					disk.ShortWrites(false)
+					eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
+					eventually(t, "something is held", func() bool { return empty(s) })
+					eventually(t, "the disk is not tried again", func() bool { return s.View().DiskState == "good" })
+				})
 			})
 		}
 	}
@@ -284,71 +289,75 @@
 
 // A kept piece that can't be read, or is not what was written, is never sent.
 func TestUnreadablePieceIsLost(t *testing.T) {
-	disk := standin.NewDisk()
-	s := store(t, disk, limits(), patience)
-	p := random(4, 2<<20)
-	b, err := s.Receive(incoming(0, p, true))
-	if err != nil {
-		t.Fatal(err)
-	}
-	disk.NoReads(syscall.EIO)
-	if got, err := readAll(b); !errors.Is(err, ErrLost) || len(got) != 0 {
-		t.Errorf("EIO: %d bytes, %v", len(got), err)
-	}
-	disk.NoReads(nil)
-	disk.Spoil(func(at int64, q []byte) {
-		if at > 1<<20 {
-			q[0] ^= 1
+	synctest.Test(t, func(t *testing.T) {
+		disk := standin.NewDisk()
+		s := store(t, disk, limits(), patience)
+		p := random(4, 2<<20)
+		b, err := s.Receive(incoming(0, p, true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		disk.NoReads(syscall.EIO)
+		if got, err := readAll(b); !errors.Is(err, ErrLost) || len(got) != 0 {
+			t.Errorf("EIO: %d bytes, %v", len(got), err)
 		}
+		disk.NoReads(nil)
+		disk.Spoil(func(at int64, q []byte) {
+			if at > 1<<20 {
+				q[0] ^= 1
+			}
+		})
+		if got, err := readAll(b); !errors.Is(err, ErrLost) || !bytes.Equal(got, p[:len(got)]) {
+			t.Errorf("altered: %d bytes, %v", len(got), err)
+		}
+		b.Drop()
 	})
-	if got, err := readAll(b); !errors.Is(err, ErrLost) || !bytes.Equal(got, p[:len(got)]) {
-		t.Errorf("altered: %d bytes, %v", len(got), err)
-	}
-	b.Drop()
 }
 
 // The client breaks off at many points, kept or not: its error comes through, a reading
 // under way ends with an error and without the last byte, and nothing is held.
 func TestSenderBreaksOff(t *testing.T) {
-	disk := standin.NewDisk()
-	s := store(t, disk, limits(), patience)
-	cut := errors.New("cut")
-	for _, size := range []int{1 << 10, 900 << 10, 3 << 20, 12 << 20} {
-		p := random(5, size)
-		for _, at := range []int{0, 1, firstPiece - 1, firstPiece, size / 2, size - 1} {
-			for _, announced := range []bool{true, false} {
-				if at >= size {
-					continue
-				}
-				in := incoming(0, p[:at], announced)
-				in.Body = io.MultiReader(in.Body, broken{cut})
-				if announced {
-					in.Length = int64(size)
-				}
-				b, err := s.Receive(in)
-				if err == nil {
-					var got []byte
-					var wg sync.WaitGroup
-					wg.Go(func() { got, err = readAll(b) })
-					ferr := b.Forward()
-					b.Break()
-					wg.Wait()
-					if !errors.Is(err, ErrBroken) || len(got) > at {
-						t.Errorf("%d of %d: a reading got %d, %v", at, size, len(got), err)
+	synctest.Test(t, func(t *testing.T) {
+		disk := standin.NewDisk()
+		s := store(t, disk, limits(), patience)
+		cut := errors.New("cut")
+		for _, size := range []int{1 << 10, 900 << 10, 3 << 20, 12 << 20} {
+			p := random(5, size)
+			for _, at := range []int{0, 1, firstPiece - 1, firstPiece, size / 2, size - 1} {
+				for _, announced := range []bool{true, false} {
+					if at >= size {
+						continue
+					}
+					in := incoming(0, p[:at], announced)
+					in.Body = io.MultiReader(in.Body, broken{cut})
+					if announced {
+						in.Length = int64(size)
+					}
+					b, err := s.Receive(in)
+					if err == nil {
+						var got []byte
+						var wg sync.WaitGroup
+						wg.Go(func() { got, err = readAll(b) })
+						ferr := b.Forward()
+						b.Break()
+						wg.Wait()
+						if !errors.Is(err, ErrBroken) || len(got) > at {
+							t.Errorf("%d of %d: a reading got %d, %v", at, size, len(got), err)
+						}
+						b.Drop()
+						err = ferr
+					}
+					if !errors.Is(err, cut) {
+						t.Errorf("%d of %d, announced %v: %v", at, size, announced, err)
 					}
-					b.Drop()
-					err = ferr
-				}
-				if !errors.Is(err, cut) {
-					t.Errorf("%d of %d, announced %v: %v", at, size, announced, err)
 				}
 			}
 		}
-	}
-	if !empty(s) {
-		t.Errorf("held: %+v", s.View())
-	}
-	eventually(t, "files stay open", func() bool { return disk.Open() == 0 })
+		if !empty(s) {
+			t.Errorf("held: %+v", s.View())
+		}
+		eventually(t, "files stay open", func() bool { return disk.Open() == 0 })
+	})
 }
 
 type broken struct{ err error }
@@ -358,52 +367,53 @@
 // Back-pressure: a sender whose server does not read is stopped at the window, and a
 // reading that waits for a sender ends with its Close.
 func TestUnkeptBodyWaits(t *testing.T) {
-	s := store(t, nil, limits(), patience)
-	sent := make(chan int, 1000)
-	in := incoming(0, nil, false)
-	in.Length = 100 << 20
-	in.Body = readFunc(func(p []byte) (int, error) { sent <- len(p); return len(p), nil })
-	b, err := s.Receive(in)
-	if err != nil || !b.Coming() {
-		t.Fatalf("%v", err)
-	}
-	done := make(chan error, 1)
-	go func() { done <- b.Forward() }()
-	eventually(t, "nothing is sent", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return b.wait >= pieceMost })
-	time.Sleep(20 * time.Millisecond)
-	total := 0
-	for len(sent) > 0 {
-		total += <-sent
-	}
-	if total > 3*pieceMost {
-		t.Errorf("%d bytes were taken for a server that reads nothing", total)
-	}
-	b.Drop()
-	if err := <-done; err != nil {
-		t.Errorf("Forward of a body that nobody wants: %v", err)
-	}
-	quiet, err := s.Receive(Incoming{Length: 100 << 20, Body: io.MultiReader(bytes.NewReader([]byte("abc")), silence{})})
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := quiet.Open()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if p, err := r.Next(); err != nil || string(p) != "abc" {
-		t.Fatalf("%q, %v", p, err)
-	}
-	ended := make(chan error, 1)
-	go func() { _, err := r.Next(); ended <- err }()
-	time.Sleep(5 * time.Millisecond)
-	r.Close()
-	if err := <-ended; err == nil {
-		t.Error("a closed reading goes on")
-	}
-	quiet.Drop()
-	if !empty(s) {
-		t.Errorf("held: %+v", s.View())
-	}
+	synctest.Test(t, func(t *testing.T) {
+		s := store(t, nil, limits(), patience)
+		sent := make(chan int, 1000)
+		in := incoming(0, nil, false)
+		in.Length = 100 << 20
+		in.Body = readFunc(func(p []byte) (int, error) { sent <- len(p); return len(p), nil })
+		b, err := s.Receive(in)
+		if err != nil || !b.Coming() {
+			t.Fatalf("%v", err)
+		}
+		done := make(chan error, 1)
+		go func() { done <- b.Forward() }()
+		synctest.Wait()
+		total := 0
+		for len(sent) > 0 {
+			total += <-sent
+		}
+		if total > 3*pieceMost {
+			t.Errorf("%d bytes were taken for a server that reads nothing", total)
+		}
+		b.Drop()
+		if err := <-done; err != nil {
+			t.Errorf("Forward of a body that nobody wants: %v", err)
+		}
+		quiet, err := s.Receive(Incoming{Length: 100 << 20, Body: io.MultiReader(bytes.NewReader([]byte("abc")), silence{})})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := quiet.Open()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p, err := r.Next(); err != nil || string(p) != "abc" {
+			t.Fatalf("%q, %v", p, err)
+		}
+		ended := make(chan error, 1)
+		go func() { _, err := r.Next(); ended <- err }()
+		synctest.Wait()
+		r.Close()
+		if err := <-ended; err == nil {
+			t.Error("a closed reading goes on")
+		}
+		quiet.Drop()
+		if !empty(s) {
+			t.Errorf("held: %+v", s.View())
+		}
+	})
 }
 
 type readFunc func(p []byte) (int, error)
@@ -417,21 +427,10 @@
 // Many bodies at once, over a disk that fails now and then: what is read whole is what
 // was sent, and in the end nothing is held.
 func TestManyBodiesOverABadDisk(t *testing.T) {
-	disk := standin.NewDisk()
-	s := store(t, disk, limits(), 100*time.Millisecond)
-	stop := make(chan struct{})
-	var trouble sync.WaitGroup
-	trouble.Go(func() {
-		rng := rand.New(rand.NewPCG(1, 9))
-		for {
-			select {
-			case <-stop:
-				disk.Room(-1)
-				disk.NoFiles(nil)
-				disk.Resume()
-				return
-			case <-time.After(2 * time.Millisecond):
-			}
+	synctest.Test(t, func(t *testing.T) {
+		disk := standin.NewDisk()
+		s := store(t, disk, limits(), 100*time.Millisecond)
+		trouble := func(rng *rand.Rand) {
 			switch rng.IntN(6) {
 			case 0:
 				disk.Room(int64(rng.IntN(4 << 20)))
@@ -445,38 +444,40 @@
 				disk.Resume()
 			}
 		}
-	})
-	var wg sync.WaitGroup
-	for g := range 8 {
-		wg.Go(func() {
-			rng := rand.New(rand.NewPCG(uint64(g), 8))
-			for n := range 12 {
-				p := random(uint64(100*g+n), rng.IntN(3<<20)+rng.IntN(1<<10))
-				b, err := s.Receive(incoming(g%2, p, rng.IntN(2) == 0))
-				if errors.Is(err, ErrNoRoom) {
-					continue
-				}
-				if err != nil {
-					t.Error(err)
-					continue
-				}
-				if b.Coming() {
-					go b.Forward()
-				}
-				got, err := readAll(b)
-				if err != nil && !errors.Is(err, ErrLost) {
-					t.Error(err)
-				}
-				if err == nil && !bytes.Equal(got, p) {
-					t.Errorf("%d bytes (%v) came back as %d others", len(p), b.Place(), len(got))
+		var wg sync.WaitGroup
+		for g := range 8 {
+			wg.Go(func() {
+				rng := rand.New(rand.NewPCG(uint64(g), 8))
+				for n := range 12 {
+					trouble(rng)
+					p := random(uint64(100*g+n), rng.IntN(3<<20)+rng.IntN(1<<10))
+					b, err := s.Receive(incoming(g%2, p, rng.IntN(2) == 0))
+					if errors.Is(err, ErrNoRoom) {
+						continue
+					}
+					if err != nil {
+						t.Error(err)
+						continue
+					}
+					if b.Coming() {
+						go b.Forward()
+					}
+					got, err := readAll(b)
+					if err != nil && !errors.Is(err, ErrLost) {
+						t.Error(err)
+					}
+					if err == nil && !bytes.Equal(got, p) {
+						t.Errorf("%d bytes (%v) came back as %d others", len(p), b.Place(), len(got))
+					}
+					b.Drop()
 				}
-				b.Drop()
-			}
-		})
-	}
-	wg.Wait()
-	close(stop)
-	trouble.Wait()
-	eventually(t, "something is held", func() bool { return empty(s) })
-	eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
+			})
+		}
+		wg.Wait()
+		disk.Room(-1)
+		disk.NoFiles(nil)
+		disk.Resume()
+		eventually(t, "something is held", func() bool { return empty(s) })
+		eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
+	})
 }
--- a/internal/rig/bodies_mix_test.go
+++ b/internal/rig/bodies_mix_test.go
@@ -22,8 +22,6 @@
 	"testing"
 	"time"
 
-	"chalkrack/internal/admin"
-	"chalkrack/internal/body"
 	"chalkrack/internal/rig"
 	"chalkrack/internal/standin"
 )
@@ -89,18 +87,7 @@
 		})
 	}
 	wg.Wait()
-	var v body.View
-	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
-		if err := admin.Ask(context.Background(), socket, "bodies", &v); err != nil {
-			t.Fatal(err)
-		}
-		if v.Memory.Now+v.Disk.Now+v.Files.Now+v.Streams.Now == 0 {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatalf("held: %+v", v)
-		}
-	}
+	v := emptied(t, socket)
 	for _, a := range site.Ledger.Log() {
 		i, err := strconv.Atoi(strings.TrimPrefix(a.ID, "m"))
 		if err != nil || a.Size != int64(all[i].size) || a.Sum != all[i].sum {
--- a/internal/rig/bodies_test.go
+++ b/internal/rig/bodies_test.go
@@ -211,6 +211,22 @@
 	}
 }
 
+// emptied waits until nothing is held, and returns what is told then.
+func emptied(t *testing.T, socket string) (v body.View) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		if err := admin.Ask(t.Context(), socket, "bodies", &v); err != nil {
+			t.Fatal(err)
+		}
+		if v.Memory.Now+v.Disk.Now+v.Files.Now+v.Streams.Now == 0 {
+			return v
+		}
+		if time.Now().After(end) {
+			t.Fatalf("held: %+v", v)
+		}
+	}
+}
+
 // Where the length is told, it is decided before the body is sent for: no 100 for what
 // is refused.
 func TestExpectIsDecidedUnread(t *testing.T) {
@@ -266,18 +282,7 @@
 			c.Close()
 		}
 	}
-	var v body.View
-	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
-		if err := admin.Ask(context.Background(), socket, "bodies", &v); err != nil {
-			t.Fatal(err)
-		}
-		if v.Memory.Now+v.Disk.Now+v.Files.Now+v.Streams.Now == 0 {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatalf("held: %+v", v)
-		}
-	}
+	emptied(t, socket)
 	for id, c := range site.Ledger.IDs() {
 		t.Errorf("%s arrived: %+v", id, c)
 	}
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -236,28 +237,30 @@
 // A call that hangs holds one worker: others' go on. A file whose call was given up
 // takes no more, and its descriptor goes when the call ends.
 func TestHungCallHoldsOneWorker(t *testing.T) {
-	hung, well := standin.NewDisk(), standin.NewDisk()
-	s := start(t, Config{FS: &twoDisks{first: hung, then: well}, Wait: 200 * time.Millisecond, Workers: 2})
-	hung.Hang()
-	a := s.File(0)
-	if err := a.Append(make([]byte, 10)); !errors.Is(err, ErrLate) {
-		t.Fatalf("hung: %v", err)
-	}
-	if err := a.Append(make([]byte, 10)); !errors.Is(err, ErrClosed) {
-		t.Errorf("append behind a call that was given up: %v", err)
-	}
-	all := pieces(1, false, 100)
-	for range 20 {
-		f := s.File(1)
-		fill(t, f, all)
-		if err := readAll(f, all); err != nil {
-			t.Fatal(err)
+	synctest.Test(t, func(t *testing.T) {
+		hung, well := standin.NewDisk(), standin.NewDisk()
+		s := start(t, Config{FS: &twoDisks{first: hung, then: well}, Wait: 200 * time.Millisecond, Workers: 2})
+		hung.Hang()
+		a := s.File(0)
+		if err := a.Append(make([]byte, 10)); !errors.Is(err, ErrLate) {
+			t.Fatalf("hung: %v", err)
 		}
-		f.Close()
-	}
-	a.Close()
-	hung.Resume()
-	eventually(t, "a descriptor is left", func() bool { return hung.Open() == 0 && well.Open() == 0 && s.Open() == 0 })
+		if err := a.Append(make([]byte, 10)); !errors.Is(err, ErrClosed) {
+			t.Errorf("append behind a call that was given up: %v", err)
+		}
+		all := pieces(1, false, 100)
+		for range 20 {
+			f := s.File(1)
+			fill(t, f, all)
+			if err := readAll(f, all); err != nil {
+				t.Fatal(err)
+			}
+			f.Close()
+		}
+		a.Close()
+		hung.Resume()
+		eventually(t, "a descriptor is left", func() bool { return hung.Open() == 0 && well.Open() == 0 && s.Open() == 0 })
+	})
 }
 
 type twoDisks struct{ first, then *standin.Disk }
@@ -271,31 +274,33 @@
 
 // With all workers hung the queue of a class is bounded, and full for that class only.
 func TestQueueIsBoundedByClass(t *testing.T) {
-	disk := standin.NewDisk()
-	s := start(t, Config{FS: disk, Wait: 50 * time.Millisecond, Workers: 2, Queue: 8})
-	disk.Hang()
-	defer disk.Resume()
-	var files []*File
-	append1 := func(class int) error {
-		f := s.File(class)
-		files = append(files, f)
-		return f.Append(make([]byte, 10))
-	}
-	busy := false
-	for range 2 + 8 + 1 {
-		busy = errors.Is(append1(0), ErrBusy)
-	}
-	if !busy {
-		t.Error("the queue has no bound")
-	}
-	if err := append1(1); !errors.Is(err, ErrLate) {
-		t.Errorf("the other class: %v, want it queued", err)
-	}
-	disk.Resume()
-	for _, f := range files {
-		f.Close()
-	}
-	eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
+	synctest.Test(t, func(t *testing.T) {
+		disk := standin.NewDisk()
+		s := start(t, Config{FS: disk, Wait: 50 * time.Millisecond, Workers: 2, Queue: 8})
+		disk.Hang()
+		defer disk.Resume()
+		var files []*File
+		append1 := func(class int) error {
+			f := s.File(class)
+			files = append(files, f)
+			return f.Append(make([]byte, 10))
+		}
+		busy := false
+		for range 2 + 8 + 1 {
+			busy = errors.Is(append1(0), ErrBusy)
+		}
+		if !busy {
+			t.Error("the queue has no bound")
+		}
+		if err := append1(1); !errors.Is(err, ErrLate) {
+			t.Errorf("the other class: %v, want it queued", err)
+		}
+		disk.Resume()
+		for _, f := range files {
+			f.Close()
+		}
+		eventually(t, "a descriptor is left", func() bool { return disk.Open() == 0 })
+	})
 }
 
 // A start sweeps what dead instances left and touches no living one's, whatever their
