One duration of settings in TOML for features and schedules

Cause: the schedules of the load generator wrote again what features had, a time as text. Change: internal/duration, which both use. Measured: tests of the packages that read settings; nothing else changes.

--- a/internal/change/document.go
+++ b/internal/change/document.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"chalkrack/internal/duration"
 	"chalkrack/internal/features"
 )
 
@@ -99,7 +100,7 @@
 			f[path] = value{text: string(x), secret: true}
 		}
 		return
-	case features.Duration:
+	case duration.Duration:
 		f[path] = value{text: strconv.FormatFloat(time.Duration(x).Seconds(), 'f', -1, 64)}
 		return
 	}
--- a/internal/demo/terminals.go
+++ b/internal/demo/terminals.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/duration"
 	"chalkrack/internal/features"
 	"chalkrack/internal/radius/proxy"
 	"chalkrack/internal/standin"
@@ -84,7 +85,7 @@
 	sec.Clients = []features.RadiusClient{{Name: "terminals", Range: "127.0.0.0/8", Secret: terminalSecret}}
 	sec.AuthDiscovery, sec.AcctDiscovery, sec.DiscoverySecret = m.discovery.Addr(), m.discovery.Addr(), serverSecret
 	sec.CallsEach = held
-	sec.Accounting.Deadline, sec.Accounting.Patience = features.Duration(5*time.Second), features.Duration(5*time.Second)
+	sec.Accounting.Deadline, sec.Accounting.Patience = duration.Duration(5*time.Second), duration.Duration(5*time.Second)
 	if m.proxy, err = proxy.New(proxy.Config{Radius: sec, Base: chalkrack.Config{Instances: 1, MaxRetryAfter: time.Second}, Grace: grace, Seed: cfg.Seed}); err != nil {
 		return nil, err
 	}
--- a/internal/features/bodies.go
+++ b/internal/features/bodies.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"time"
+
+	"chalkrack/internal/duration"
 )
 
 // Bodies is the section [bodies]: how request bodies are kept for another attempt. It
@@ -28,27 +30,27 @@
 	High   float64            `toml:"high"`
 	Low    float64            `toml:"low"`
 
-	Compress  bool     `toml:"compress"`
-	Workers   int      `toml:"workers"` // file calls at once
-	Queue     int      `toml:"queue"`   // calls of a class that wait for a worker
-	CallWait  Duration `toml:"call_wait"`
-	SlowAfter Duration `toml:"slow_after"`
-	RestLeast Duration `toml:"rest_least"`
-	RestMost  Duration `toml:"rest_most"`
-	Proof     int      `toml:"proof"` // good trials in a row
+	Compress  bool              `toml:"compress"`
+	Workers   int               `toml:"workers"` // file calls at once
+	Queue     int               `toml:"queue"`   // calls of a class that wait for a worker
+	CallWait  duration.Duration `toml:"call_wait"`
+	SlowAfter duration.Duration `toml:"slow_after"`
+	RestLeast duration.Duration `toml:"rest_least"`
+	RestMost  duration.Duration `toml:"rest_most"`
+	Proof     int               `toml:"proof"` // good trials in a row
 
-	RateKB      int      `toml:"rate_kb"` // a second, that a client sends of a long body at least
-	Within      Duration `toml:"within"`  // how long a body may take
-	ProxyStatus bool     `toml:"proxy_status"`
+	RateKB      int               `toml:"rate_kb"` // a second, that a client sends of a long body at least
+	Within      duration.Duration `toml:"within"`  // how long a body may take
+	ProxyStatus bool              `toml:"proxy_status"`
 }
 
 func bodiesDefault() Bodies {
 	return Bodies{
 		MemoryLongestKB: 1 << 10, DiskMB: 256, FileLongestMB: 64, Files: 32, Streams: 32, WindowKB: 64, LongestMB: 1 << 10,
 		Lend: 0.5, High: 0.8, Low: 0.6,
-		Workers: 4, Queue: 64, CallWait: Duration(500 * time.Millisecond), SlowAfter: Duration(100 * time.Millisecond),
-		RestLeast: Duration(time.Second), RestMost: Duration(30 * time.Second), Proof: 3,
-		RateKB: 64, Within: Duration(time.Minute),
+		Workers: 4, Queue: 64, CallWait: duration.Duration(500 * time.Millisecond), SlowAfter: duration.Duration(100 * time.Millisecond),
+		RestLeast: duration.Duration(time.Second), RestMost: duration.Duration(30 * time.Second), Proof: 3,
+		RateKB: 64, Within: duration.Duration(time.Minute),
 	}
 }
 
@@ -72,7 +74,7 @@
 	between := func(name string, v, least, most int) {
 		c.need(v >= least && v <= most, at(name), "must be within %d and %d", least, most)
 	}
-	within := func(name string, v Duration, least, most time.Duration) {
+	within := func(name string, v duration.Duration, least, most time.Duration) {
 		c.need(time.Duration(v) >= least && time.Duration(v) <= most, at(name), "must be within %v and %v", least, most)
 	}
 	const mb = 1 << 10
--- a/internal/features/radius.go
+++ b/internal/features/radius.go
@@ -7,17 +7,9 @@
 	"path/filepath"
 	"strings"
 	"time"
-)
-
-// Duration is a time as TOML has it here: "1.5s", "200ms".
-type Duration time.Duration
 
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return err
-}
+	"chalkrack/internal/duration"
+)
 
 // Secret is a text that shows nowhere: not in logs, errors or dumps.
 type Secret string
@@ -49,26 +41,26 @@
 	Access     RadiusClass `toml:"access"`
 	Accounting RadiusClass `toml:"accounting"`
 
-	Attempts        int      `toml:"attempts"` // servers tried for one call, 1 to 5
-	Sockets         int      `toml:"sockets"`  // of each server, 256 attempts each
-	UnsignedAnswers bool     `toml:"unsigned_answers"`
-	Rest            Duration `toml:"rest"` // how long a late answer may come
+	Attempts        int               `toml:"attempts"` // servers tried for one call, 1 to 5
+	Sockets         int               `toml:"sockets"`  // of each server, 256 attempts each
+	UnsignedAnswers bool              `toml:"unsigned_answers"`
+	Rest            duration.Duration `toml:"rest"` // how long a late answer may come
 
-	RememberFor       Duration `toml:"remember_for"`
-	RememberBytes     int      `toml:"remember_bytes"`
-	RememberBytesEach int      `toml:"remember_bytes_each"` // of one client address
+	RememberFor       duration.Duration `toml:"remember_for"`
+	RememberBytes     int               `toml:"remember_bytes"`
+	RememberBytesEach int               `toml:"remember_bytes_each"` // of one client address
 	// RememberFile keeps what is remembered of accounting over a restart by SIGTERM;
 	// empty: it is forgotten.
-	RememberFile    string   `toml:"remember_file"`
-	CallsEach       int      `toml:"calls_each"` // under way, of one client address
-	Conversations   int      `toml:"conversations"`
-	ConversationFor Duration `toml:"conversation_for"`
+	RememberFile    string            `toml:"remember_file"`
+	CallsEach       int               `toml:"calls_each"` // under way, of one client address
+	Conversations   int               `toml:"conversations"`
+	ConversationFor duration.Duration `toml:"conversation_for"`
 
 	OnGiveUp   string `toml:"on_give_up"` // reject or silent, for access
 	ErrorCause int    `toml:"error_cause"`
 
-	ProbeEvery  Duration `toml:"probe_every"` // Status-Server to each server; 0: never
-	ProbeMisses int      `toml:"probe_misses"`
+	ProbeEvery  duration.Duration `toml:"probe_every"` // Status-Server to each server; 0: never
+	ProbeMisses int               `toml:"probe_misses"`
 }
 
 // RadiusClient is [[radius.clients]].
@@ -93,27 +85,27 @@
 
 // RadiusClass is [radius.access] and [radius.accounting].
 type RadiusClass struct {
-	Aim      Duration `toml:"aim"`
-	Deadline Duration `toml:"deadline"`
-	Patience Duration `toml:"patience"` // of one attempt
-	Resend   Duration `toml:"resend"`   // the same packet to the same server again, first after so long
-	Resends  int      `toml:"resends"`
-	Effect   string   `toml:"effect"` // safe: another server may be asked when one says nothing; once: not
-	Worth    float64  `toml:"worth"`
+	Aim      duration.Duration `toml:"aim"`
+	Deadline duration.Duration `toml:"deadline"`
+	Patience duration.Duration `toml:"patience"` // of one attempt
+	Resend   duration.Duration `toml:"resend"`   // the same packet to the same server again, first after so long
+	Resends  int               `toml:"resends"`
+	Effect   string            `toml:"effect"` // safe: another server may be asked when one says nothing; once: not
+	Worth    float64           `toml:"worth"`
 }
 
 // radiusDefault is what the section has where it says nothing.
 func radiusDefault() Radius {
 	return Radius{
-		Access:     RadiusClass{Aim: s(2), Deadline: s(4), Patience: s(1), Resend: Duration(300 * time.Millisecond), Resends: 1, Effect: "safe", Worth: 1},
-		Accounting: RadiusClass{Aim: s(5), Deadline: s(20), Patience: s(19), Resend: Duration(500 * time.Millisecond), Resends: 8, Effect: "once", Worth: 1},
+		Access:     RadiusClass{Aim: s(2), Deadline: s(4), Patience: s(1), Resend: duration.Duration(300 * time.Millisecond), Resends: 1, Effect: "safe", Worth: 1},
+		Accounting: RadiusClass{Aim: s(5), Deadline: s(20), Patience: s(19), Resend: duration.Duration(500 * time.Millisecond), Resends: 8, Effect: "once", Worth: 1},
 		Attempts:   3, Sockets: 4, Rest: s(10),
 		RememberFor: s(30), RememberBytes: 8 << 20, RememberBytesEach: 1 << 20, CallsEach: 256,
 		Conversations: 4096, ConversationFor: s(120), OnGiveUp: "reject", ErrorCause: 502, ProbeMisses: 3,
 	}
 }
 
-func s(n int) Duration { return Duration(time.Duration(n) * time.Second) }
+func s(n int) duration.Duration { return duration.Duration(time.Duration(n) * time.Second) }
 
 const (
 	radiusServersMost = 256
@@ -126,7 +118,7 @@
 		_, err := netip.ParseAddrPort(addr)
 		c.need(err == nil, field, "must be an IP address with a port, not %q", addr)
 	}
-	within := func(field string, d Duration, least, most time.Duration) {
+	within := func(field string, d duration.Duration, least, most time.Duration) {
 		c.need(time.Duration(d) >= least && time.Duration(d) <= most, field, "must be within %v and %v, not %v", least, most, time.Duration(d))
 	}
 	between := func(field string, n, least, most int) {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"chalkrack/internal/load/schedule"
+	"chalkrack/internal/duration"
 )
 
 // Effect is what a class of calls allows.
@@ -29,8 +29,8 @@
 	Name     string            `toml:"name"`
 	Share    float64           `toml:"share"` // of all calls; only proportions count
 	Effect   Effect            `toml:"effect"`
-	Aim      schedule.Duration `toml:"aim"` // an answer within it earns the worth
-	Deadline schedule.Duration `toml:"deadline"`
+	Aim      duration.Duration `toml:"aim"` // an answer within it earns the worth
+	Deadline duration.Duration `toml:"deadline"`
 	Worth    float64           `toml:"worth"`
 	Body     int               `toml:"body"`      // bytes, at least
 	BodyMost int               `toml:"body_most"` // at most; 0: Body
@@ -39,7 +39,7 @@
 // Retries is what clients do when they are turned away, as the scenario tells.
 type Retries struct {
 	Most    int               `toml:"most"`    // further tries of one call
-	Backoff schedule.Duration `toml:"backoff"` // before the first of them
+	Backoff duration.Duration `toml:"backoff"` // before the first of them
 	Growth  float64           `toml:"growth"`  // of the backoff with each
 	Jitter  float64           `toml:"jitter"`  // the part of it that is random
 	Heed    float64           `toml:"heed"`    // the share of clients that wait as Retry-After says
@@ -49,7 +49,7 @@
 type Limits struct {
 	Connections int               `toml:"connections"`
 	Outstanding int               `toml:"outstanding"` // calls under way, those that wait for a retry included
-	Lag         schedule.Duration `toml:"lag"`         // how late a second's sends may leave at p99 for its figures to hold
+	Lag         duration.Duration `toml:"lag"`         // how late a second's sends may leave at p99 for its figures to hold
 	CPU         float64           `toml:"cpu"`         // cores used in a second beyond which its figures don't hold; 0: nine tenths of all
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"chalkrack/internal/duration"
 	"chalkrack/internal/load/schedule"
 	"chalkrack/internal/standin"
 )
@@ -77,8 +78,8 @@
 }
 
 func constant(rate float64, length time.Duration) *Scenario {
-	s := &Scenario{Version: 1, Seed: 3, Length: schedule.Duration(length), Arrivals: []schedule.Shape{{Kind: "constant", Rate: rate}},
-		Classes: []Class{{Name: "a", Share: 1, Effect: Safe, Aim: schedule.Duration(time.Second), Deadline: schedule.Duration(8 * time.Second), Worth: 1}}}
+	s := &Scenario{Version: 1, Seed: 3, Length: duration.Duration(length), Arrivals: []schedule.Shape{{Kind: "constant", Rate: rate}},
+		Classes: []Class{{Name: "a", Share: 1, Effect: Safe, Aim: duration.Duration(time.Second), Deadline: duration.Duration(8 * time.Second), Worth: 1}}}
 	s.defaults()
 	s.Limits.Connections, s.Limits.Outstanding = 5000, 5000
 	return s
@@ -274,12 +275,12 @@
 			return time.Millisecond, Reply{Status: 200}, nil
 		}}
 		s := constant(50, 4*time.Second)
-		d := schedule.Duration(8 * time.Second)
+		d := duration.Duration(8 * time.Second)
 		s.Classes = []Class{
 			{"refused", 1, Once, d, d, 1, 0, 0},
 			{"broken", 1, Once, d, d, 1, 0, 0},
 		}
-		s.Retries = Retries{Most: 2, Backoff: schedule.Duration(100 * time.Millisecond), Growth: 2, Heed: 0.5}
+		s.Retries = Retries{Most: 2, Backoff: duration.Duration(100 * time.Millisecond), Growth: 2, Heed: 0.5}
 		rep := play(t, s, w)
 		r, b := rep.Classes[0], rep.Classes[1]
 		if r.Served != r.Sent || r.Retries != 2*r.Sent || b.Failed != b.Sent || b.Retries != 0 {
@@ -315,7 +316,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		s := constant(200, 10*time.Minute)
-		s.Classes[0].Deadline = schedule.Duration(2 * time.Second)
+		s.Classes[0].Deadline = duration.Duration(2 * time.Second)
 		w := silent()
 		rep := play(t, s, w)
 		if rep.Classes[0].None != rep.Sent || rep.Sent != 120000 || len(rep.Seconds) != 600 || w.open != 0 {
@@ -353,8 +354,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := constant(100, 3*time.Second)
 		s.Limits.Connections, s.Limits.Outstanding = 1<<16, 1<<17
-		s.Arrivals = []schedule.Shape{{Kind: "piecewise", Points: []schedule.Point{{At: 0, Rate: 100}, {At: schedule.Duration(time.Second), Rate: 100},
-			{At: schedule.Duration(time.Second + 1), Rate: 50000}, {At: schedule.Duration(2 * time.Second), Rate: 50000}, {At: schedule.Duration(2*time.Second + 1), Rate: 100}}}}
+		s.Arrivals = []schedule.Shape{{Kind: "piecewise", Points: []schedule.Point{{At: 0, Rate: 100}, {At: duration.Duration(time.Second), Rate: 100},
+			{At: duration.Duration(time.Second + 1), Rate: 50000}, {At: duration.Duration(2 * time.Second), Rate: 50000}, {At: duration.Duration(2*time.Second + 1), Rate: 100}}}}
 		rep := play(t, s, &world{do: func(time.Time, *Call) (time.Duration, Reply, error) {
 			return 100 * time.Millisecond, Reply{Status: 200}, nil
 		}})
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -11,6 +11,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"chalkrack/internal/duration"
 	"chalkrack/internal/load/schedule"
 	"chalkrack/internal/load/trace"
 )
@@ -26,7 +27,7 @@
 	Name     string            `toml:"name"`
 	About    string            `toml:"about"`
 	Seed     uint64            `toml:"seed"`
-	Length   schedule.Duration `toml:"length"`
+	Length   duration.Duration `toml:"length"`
 	Poisson  bool              `toml:"poisson"`
 	Arrivals []schedule.Shape  `toml:"arrivals"`
 	Trace    string            `toml:"trace"` // in place of arrivals: a file of 'fawnctl load import'
@@ -45,23 +46,23 @@
 	Servers  int               `toml:"servers"`
 	Zones    []string          `toml:"zones"` // of the servers, in turn; empty: one
 	Rate     float64           `toml:"rate"`  // requests a second of one server when warm; 0: any
-	WorkFrom schedule.Duration `toml:"work_from"`
-	WorkTo   schedule.Duration `toml:"work_to"`
+	WorkFrom duration.Duration `toml:"work_from"`
+	WorkTo   duration.Duration `toml:"work_to"`
 	Cold     float64           `toml:"cold"` // share of the rate that a fresh one has
-	WarmIn   schedule.Duration `toml:"warm_in"`
+	WarmIn   duration.Duration `toml:"warm_in"`
 	FallBy   float64           `toml:"fall_by"` // times what it can do, for FallFor, fells a cold one
-	FallFor  schedule.Duration `toml:"fall_for"`
-	Window   schedule.Duration `toml:"window"`   // for which servers drop a key's repeats
+	FallFor  duration.Duration `toml:"fall_for"`
+	Window   duration.Duration `toml:"window"`   // for which servers drop a key's repeats
 	Features string            `toml:"features"` // text of the daemon's features file
 }
 
 // Event is something that happens in a rehearsal.
 type Event struct {
-	At      schedule.Duration `toml:"at"`
+	At      duration.Duration `toml:"at"`
 	Do      string            `toml:"do"`
 	Servers []int             `toml:"servers"` // from 1
 	Zone    string            `toml:"zone"`    // all servers of it
-	By      schedule.Duration `toml:"by"`      // of lag
+	By      duration.Duration `toml:"by"`      // of lag
 }
 
 // deeds are what events do, and whether they need servers.
@@ -85,7 +86,7 @@
 		s.Limits.Outstanding = 8192
 	}
 	if s.Limits.Lag == 0 {
-		s.Limits.Lag = schedule.Duration(5 * time.Millisecond)
+		s.Limits.Lag = duration.Duration(5 * time.Millisecond)
 	}
 	if s.Retries.Growth == 0 {
 		s.Retries.Growth = 2
@@ -94,13 +95,13 @@
 		s.Classes = Activation()
 	}
 	if s.Site != nil && s.Site.Window == 0 {
-		s.Site.Window = schedule.Duration(1500 * time.Millisecond)
+		s.Site.Window = duration.Duration(1500 * time.Millisecond)
 	}
 }
 
 // Activation is the operators' three classes.
 func Activation() []Class {
-	d := func(v time.Duration) schedule.Duration { return schedule.Duration(v) }
+	d := func(v time.Duration) duration.Duration { return duration.Duration(v) }
 	return []Class{
 		{"status-check", 0.52, Safe, d(800 * time.Millisecond), d(3 * time.Second), 1, 0, 0},
 		{"id-register", 0.27, Keyed, d(time.Second), d(2500 * time.Millisecond), 3, 400, 4000},
@@ -145,7 +146,7 @@
 
 func (s *Scenario) check() error {
 	bad := func(field, want string) error { return fmt.Errorf("%s must be %s", field, want) }
-	span := func(d schedule.Duration) bool { return d >= 0 && time.Duration(d) <= schedule.LengthMost }
+	span := func(d duration.Duration) bool { return d >= 0 && time.Duration(d) <= schedule.LengthMost }
 	switch {
 	case s.Version != ScenarioVersion:
 		return bad("version", fmt.Sprint(ScenarioVersion))
@@ -208,7 +209,7 @@
 	return s.checkSite(bad, span)
 }
 
-func (s *Scenario) checkSite(bad func(field, want string) error, span func(schedule.Duration) bool) error {
+func (s *Scenario) checkSite(bad func(field, want string) error, span func(duration.Duration) bool) error {
 	t := s.Site
 	if t == nil {
 		if len(s.Events) > 0 {
--- a/internal/load/schedule/schedule.go
+++ b/internal/load/schedule/schedule.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"chalkrack/internal/duration"
 )
 
 // Bounds of what a schedule may be.
@@ -23,25 +25,10 @@
 	step = time.Millisecond
 )
 
-// Duration is a time as TOML has it here: "1.5s".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return err
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-func (d Duration) seconds() float64 { return time.Duration(d).Seconds() }
-
 // Point is a rate, or a factor, at a time.
 type Point struct {
-	At   Duration `toml:"at"`
-	Rate float64  `toml:"rate"`
+	At   duration.Duration `toml:"at"`
+	Rate float64           `toml:"rate"`
 }
 
 // Shape is one factor of the rate. Those of a schedule are multiplied: one of them is
@@ -53,25 +40,25 @@
 	Rate   float64 `toml:"rate"`
 	Points []Point `toml:"points"`
 	// A ramp goes from From to To, from At on, within Over, and stays.
-	From float64  `toml:"from"`
-	To   float64  `toml:"to"`
-	At   Duration `toml:"at"`
-	Over Duration `toml:"over"`
+	From float64           `toml:"from"`
+	To   float64           `toml:"to"`
+	At   duration.Duration `toml:"at"`
+	Over duration.Duration `toml:"over"`
 	// A surge is 1, from At on rises to Factor within Rise, stays for Hold and falls
 	// back within Fall. With Every above 0 it comes again so long after each beginning.
-	Factor float64  `toml:"factor"`
-	Rise   Duration `toml:"rise"`
-	Hold   Duration `toml:"hold"`
-	Fall   Duration `toml:"fall"`
-	Every  Duration `toml:"every"`
+	Factor float64           `toml:"factor"`
+	Rise   duration.Duration `toml:"rise"`
+	Hold   duration.Duration `toml:"hold"`
+	Fall   duration.Duration `toml:"fall"`
+	Every  duration.Duration `toml:"every"`
 	// A sine is 1 + Amplitude*sin(2 pi (t + Phase) / Period).
-	Amplitude float64  `toml:"amplitude"`
-	Period    Duration `toml:"period"`
-	Phase     Duration `toml:"phase"`
+	Amplitude float64           `toml:"amplitude"`
+	Period    duration.Duration `toml:"period"`
+	Phase     duration.Duration `toml:"phase"`
 	// An on-off is 1 for On and Low for Off, in turn.
-	On  Duration `toml:"on"`
-	Off Duration `toml:"off"`
-	Low float64  `toml:"low"`
+	On  duration.Duration `toml:"on"`
+	Off duration.Duration `toml:"off"`
+	Low float64           `toml:"low"`
 }
 
 // At is the factor at a time.
@@ -81,17 +68,17 @@
 	case "constant":
 		return s.Rate
 	case "ramp":
-		x := (t - s.At.seconds()) / s.Over.seconds()
+		x := (t - s.At.Seconds()) / s.Over.Seconds()
 		return s.From + (s.To-s.From)*min(max(x, 0), 1)
 	case "surge":
-		x := t - s.At.seconds()
+		x := t - s.At.Seconds()
 		if x < 0 {
 			return 1
 		}
 		if s.Every > 0 {
-			x = math.Mod(x, s.Every.seconds())
+			x = math.Mod(x, s.Every.Seconds())
 		}
-		rise, hold, fall := s.Rise.seconds(), s.Hold.seconds(), s.Fall.seconds()
+		rise, hold, fall := s.Rise.Seconds(), s.Hold.Seconds(), s.Fall.Seconds()
 		switch {
 		case x < rise:
 			return 1 + (s.Factor-1)*x/rise
@@ -102,14 +89,14 @@
 		}
 		return 1
 	case "sine":
-		return 1 + s.Amplitude*math.Sin(2*math.Pi*(t+s.Phase.seconds())/s.Period.seconds())
+		return 1 + s.Amplitude*math.Sin(2*math.Pi*(t+s.Phase.Seconds())/s.Period.Seconds())
 	case "on-off":
-		if math.Mod(t, (s.On+s.Off).seconds()) < s.On.seconds() {
+		if math.Mod(t, (s.On+s.Off).Seconds()) < s.On.Seconds() {
 			return 1
 		}
 		return s.Low
 	case "piecewise":
-		n := sort.Search(len(s.Points), func(n int) bool { return s.Points[n].At.seconds() > t })
+		n := sort.Search(len(s.Points), func(n int) bool { return s.Points[n].At.Seconds() > t })
 		switch n {
 		case 0:
 			return s.Points[0].Rate
@@ -117,7 +104,7 @@
 			return s.Points[n-1].Rate
 		}
 		a, b := s.Points[n-1], s.Points[n]
-		return a.Rate + (b.Rate-a.Rate)*(t-a.At.seconds())/(b.At-a.At).seconds()
+		return a.Rate + (b.Rate-a.Rate)*(t-a.At.Seconds())/(b.At-a.At).Seconds()
 	}
 	return 0
 }
@@ -127,7 +114,7 @@
 // Check says what is wrong with a shape, by its field.
 func (s *Shape) Check() error {
 	bad := func(field, want string) error { return fmt.Errorf("%s of a %s must be %s", field, s.Kind, want) }
-	span := func(d Duration) bool { return d >= 0 && time.Duration(d) <= LengthMost }
+	span := func(d duration.Duration) bool { return d >= 0 && time.Duration(d) <= LengthMost }
 	switch s.Kind {
 	case "constant":
 		if !good(s.Rate) {
--- a/internal/load/schedule/schedule_test.go
+++ b/internal/load/schedule/schedule_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"chalkrack/internal/duration"
 )
 
-func every(d time.Duration) Duration { return Duration(d) }
+func every(d time.Duration) duration.Duration { return duration.Duration(d) }
 
 // Each shape brings the number of arrivals that its integral says, in each tenth of the
 // way, in order, and the same for the same seed.
@@ -122,8 +124,8 @@
 func TestCheckedPlansPlay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		number := rapid.OneOf(rapid.Float64Range(-1, 3), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), 1e7, 0}))
-		span := rapid.Custom(func(t *rapid.T) Duration {
-			return Duration(rapid.OneOf(rapid.Int64Range(-1, 2e9), rapid.Just(int64(1<<62))).Draw(t, "span"))
+		span := rapid.Custom(func(t *rapid.T) duration.Duration {
+			return duration.Duration(rapid.OneOf(rapid.Int64Range(-1, 2e9), rapid.Just(int64(1<<62))).Draw(t, "span"))
 		})
 		p := &Plan{Length: 2 * time.Second, Poisson: rapid.Bool().Draw(t, "poisson")}
 		for range rapid.IntRange(0, 3).Draw(t, "shapes") {
@@ -131,7 +133,7 @@
 			for _, f := range []*float64{&s.Rate, &s.From, &s.To, &s.Factor, &s.Amplitude, &s.Low} {
 				*f = number.Draw(t, "number")
 			}
-			for _, d := range []*Duration{&s.At, &s.Over, &s.Rise, &s.Hold, &s.Fall, &s.Every, &s.Period, &s.Phase, &s.On, &s.Off} {
+			for _, d := range []*duration.Duration{&s.At, &s.Over, &s.Rise, &s.Hold, &s.Fall, &s.Every, &s.Period, &s.Phase, &s.On, &s.Off} {
 				*d = span.Draw(t, "span")
 			}
 			for range rapid.IntRange(0, 3).Draw(t, "points") {
--- a/internal/radius/proxy/proxy_test.go
+++ b/internal/radius/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/duration"
 	"chalkrack/internal/features"
 	"chalkrack/internal/standin"
 	"go.uber.org/goleak"
@@ -32,7 +33,7 @@
 	ofServer  = "of server "
 )
 
-func ms(n int) features.Duration { return features.Duration(time.Duration(n) * time.Millisecond) }
+func ms(n int) duration.Duration { return duration.Duration(time.Duration(n) * time.Millisecond) }
 
 func section() features.Radius {
 	r := features.Default().Radius
