Kept bodies: tests of SIGTERM with bodies in use and of an early answer's orderly end

Cause: reading off behind an early answer could be taken out unnoticed, and nothing stopped a daemon with files in use; bodies of 5 MiB also lean on how much sockets hold. Change: two tests, which see the end in order, both bodies answered and the folder gone; bodies that must not be out whole have 24 MiB; a rig's daemon may be stopped twice.

--- a/client/keep_test.go
+++ b/client/keep_test.go
@@ -16,6 +16,9 @@
 	"chalkrack/internal/standin"
 )
 
+// unkept is the length of a body that no socket's buffers hold.
+const unkept = 24 << 20
+
 func random(seed byte, n int) []byte {
 	p := make([]byte, n)
 	rand.NewChaCha8([32]byte{seed}).Read(p)
@@ -57,7 +60,7 @@
 		{"in a file, must not run twice", "activate", 1 << 20, standin.Act{Kind: standin.ResetLate}, 502, 1, false},
 		{"not kept", "activate", 5 << 20, standin.Act{}, 200, 1, false},
 		{"not kept, reset behind its end", "id-register", 5 << 20, standin.Act{Kind: standin.ResetLate}, 503, 1, false},
-		{"not kept, reset in its middle", "activate", 5 << 20, standin.Act{Kind: standin.ResetEarly, Delay: 10 * time.Millisecond}, 503, 0, false},
+		{"not kept, reset in its middle", "activate", unkept, standin.Act{Kind: standin.ResetEarly, Delay: 10 * time.Millisecond}, 503, 0, false},
 	} {
 		for via, tr := range map[string]*Transport{"": tr, "by the daemon, ": by} {
 			if via != "" && c.only {
--- a/internal/rig/bodies_test.go
+++ b/internal/rig/bodies_test.go
@@ -27,6 +27,10 @@
 
 const patience = 30 * time.Second
 
+// unkept is the length of a body that is not kept and that no socket's buffers hold: its
+// last byte is not out before its server reads.
+const unkept = 24 << 20
+
 // bodies are the settings of a small store: memory keeps 256 KiB each, files 2 MiB.
 func bodies(folder, socket string) string {
 	text := "version = 1\n[bodies]\nenabled = true\nmemory_mb = 16\nmemory_longest_kb = 256\nfile_longest_mb = 2\ndisk_mb = 16\nfiles = 8\nstreams = 8\nlongest_mb = 64\nproxy_status = true\n" +
@@ -151,10 +155,10 @@
 		{"not kept, reset behind the last byte", "id-register", 5 << 20, false, standin.Act{Kind: standin.ResetLate}, 503, 1},
 		{"not kept, must not run twice, reset behind", "activate", 5 << 20, true, standin.Act{Kind: standin.ResetLate}, 502, 1},
 		{"not kept, declined", "activate", 5 << 20, false, standin.Act{Kind: standin.Decline}, 503, 1},
-		{"not kept, reset in the middle", "activate", 5 << 20, false, standin.Act{Kind: standin.ResetEarly, Delay: 20 * time.Millisecond}, 503, 0},
-		{"not kept, 413 early", "activate", 5 << 20, false, standin.Act{Kind: standin.Deny, Status: 413, Early: true}, 413, 0},
-		{"not kept, 503 early", "activate", 5 << 20, false, standin.Act{Kind: standin.Deny, Status: 503, Early: true}, 503, 0},
-		{"not kept, 200 early", "activate", 5 << 20, false, standin.Act{Early: true}, 200, 0},
+		{"not kept, reset in the middle", "activate", unkept, false, standin.Act{Kind: standin.ResetEarly, Delay: 20 * time.Millisecond}, 503, 0},
+		{"not kept, 413 early", "activate", unkept, false, standin.Act{Kind: standin.Deny, Status: 413, Early: true}, 413, 0},
+		{"not kept, 503 early", "activate", unkept, false, standin.Act{Kind: standin.Deny, Status: 503, Early: true}, 503, 0},
+		{"not kept, 200 early", "activate", unkept, false, standin.Act{Early: true}, 200, 0},
 		{"small, failed", "id-register", 300, false, standin.Act{Kind: standin.Fail}, 200, 2},
 		{"too long", "activate", 65 << 20, false, standin.Act{}, 413, 0},
 	} {
@@ -376,3 +380,74 @@
 		t.Errorf("beyond a bound: %+v", v)
 	}
 }
+
+// An answer that comes before a body's end is followed by an end in order: a close with
+// bytes unread would reset the connection, and may take the answer back.
+func TestEarlyAnswerEndsInOrder(t *testing.T) {
+	site, d := start(t, 2, bodies("", ""))
+	script(site, standin.Always(standin.Act{Early: true}))
+	c, err := net.Dial("tcp", d.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "POST /activate HTTP/1.1\r\nHost: app\r\nReq-Id: e1\r\nContent-Length: %d\r\n\r\n", unkept)
+	var wg sync.WaitGroup
+	wg.Go(func() { c.Write(random(1, unkept)) })
+	answer, err := io.ReadAll(c)
+	if err != nil || !bytes.HasPrefix(answer, []byte("HTTP/1.1 200")) || !bytes.Contains(answer, []byte("Connection: close")) {
+		t.Errorf("%q, %v", answer, err)
+	}
+	c.Close()
+	wg.Wait()
+}
+
+// SIGTERM while a body in a file waits for its server, and while one that is not kept is
+// on its way: both are answered, and the instance's folder goes.
+func TestStopWithBodiesInUse(t *testing.T) {
+	folder := t.TempDir()
+	site, d := start(t, 2, bodies(folder, ""))
+	seen := make(chan struct{}, 2)
+	script(site, func(r standin.Request) standin.Act {
+		seen <- struct{}{}
+		return standin.Act{Delay: 300 * time.Millisecond}
+	})
+	var wg sync.WaitGroup
+	send := func(id string, size int, body io.Reader) {
+		wg.Go(func() {
+			if status, _, err := post(d.Addr, "activate", id, body, int64(size)); status != 200 || err != nil {
+				t.Errorf("%s: %d, %v", id, status, err)
+			}
+		})
+	}
+	p := random(1, unkept)
+	send("file", 1<<20, bytes.NewReader(p[:1<<20]))
+	r, w := io.Pipe()
+	send("stream", unkept, r)
+	if _, err := w.Write(p[:unkept/2]); err != nil {
+		t.Fatal(err)
+	}
+	<-seen
+	<-seen // both are at their servers, the second without its end
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Stop() }()
+	w.Write(p[unkept/2:])
+	w.Close()
+	wg.Wait()
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	for id, size := range map[string]int{"file": 1 << 20, "stream": unkept} {
+		found := false
+		for _, a := range site.Ledger.Log() {
+			found = found || a.ID == id && a.Sum == sha256.Sum256(p[:size])
+		}
+		if !found {
+			t.Errorf("%s did not arrive whole", id)
+		}
+	}
+	if left, err := os.ReadDir(folder); err != nil || len(left) != 1 || left[0].Name() != "lock" {
+		t.Errorf("left: %v, %v", left, err)
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -306,8 +306,12 @@
 // Stop ends the daemon as a planned restart does, and waits for it.
 func (d *Daemon) Stop() error {
 	if d.binary == "" {
+		if d.term == nil { // it has ended
+			return nil
+		}
 		d.term <- syscall.SIGTERM
 		err := <-d.done
+		d.term = nil
 		os.RemoveAll(d.dir)
 		return err
 	}
