Rehearsals wait for their events, which lie within the load's time

Cause: an event could be cut off at the load's end on a slow machine, and one behind the end never came, without a word. Change: a rehearsal waits for its events unless it is cut short; an event behind the length is refused by its field.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -451,6 +451,7 @@
 		good + "[[classes]]\nname = \"a\"\nshare = 0.0\neffect = \"safe\"\naim = \"1s\"\ndeadline = \"1s\"\n":  "classes",
 		good + "[[events]]\nat = \"1s\"\ndo = \"kill\"\nservers = [1]\n":                                       "site",
 		good + "[site]\nservers = 2\n[[events]]\nat = \"1s\"\ndo = \"kill\"\nservers = [3]\n":                  "events[0].servers",
+		good + "[site]\nservers = 2\n[[events]]\nat = \"2s\"\ndo = \"kill\"\nservers = [1]\n":                  "events[0].at",
 		good + "[site]\nservers = 2\n[[events]]\nat = \"1s\"\ndo = \"burn\"\nservers = [1]\n":                  "events[0].do",
 		good + "[site]\nservers = 2\n[[events]]\nat = \"1s\"\ndo = \"kill\"\nzone = \"x\"\n":                   "events[0].zone",
 		good + "[site]\nservers = 0\n":  "site.servers",
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -239,8 +239,8 @@
 		switch {
 		case !known:
 			return bad(at+"do", "freeze, thaw, kill, restart, drain, undrain, lag or break-discovery")
-		case !span(e.At):
-			return bad(at+"at", "within 0 and 24h")
+		case !span(e.At) || s.Trace == "" && e.At > s.Length:
+			return bad(at+"at", "within 0 and the length")
 		case !span(e.By):
 			return bad(at+"by", "within 0 and 24h")
 		case needs && len(e.Servers) == 0 && e.Zone == "":
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -87,8 +87,11 @@
 	var events sync.WaitGroup
 	events.Go(func() { r.events(eventsCtx) })
 	rep, err := load.Run(ctx, cfg)
+	if ctx.Err() != nil || err != nil {
+		stop()
+	}
+	events.Wait() // each lies within the load's time
 	stop()
-	events.Wait()
 	if serr := d.Stop(); err == nil && serr != nil {
 		err = fmt.Errorf("rehearse: the daemon: %w", serr)
 	}
