--- a/internal/rig/bodies_mix_test.go
+++ b/internal/rig/bodies_mix_test.go
@@ -305,7 +305,8 @@
 					b.Fatal(err)
 				}
 				defer site.Close()
-				addr, stop := "", func() (time.Duration, int64) { return 0, 0 }
+				var addr string
+				var stop func() (used time.Duration, most int64)
 				if name == "ReverseProxy" {
 					addr, stop = reverse(b, site.Servers[0].Addr())
 				} else {
