Load generator: calls through the plug-in and over RADIUS; rehearsals by either tier

Need: the generator spoke HTTP/1.1 only, so that neither the plug-in nor counter terminals could be rehearsed, and two of the hard stalls were shown without its own HTTP code.

--- a/cmd/fawnctl/load.go
+++ b/cmd/fawnctl/load.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"net/netip"
 	"os"
 	"os/signal"
 	"strings"
@@ -17,7 +18,9 @@
 
 	tea "charm.land/bubbletea/v2"
 
+	"chalkrack/client"
 	"chalkrack/internal/load"
+	"chalkrack/internal/load/protocol"
 	"chalkrack/internal/load/trace"
 	"chalkrack/internal/rehearse"
 )
@@ -189,12 +192,55 @@
 }
 
 type loadRunCmd struct {
-	Scenario string `arg:"" help:"A scenario's file, or the name of one of the library."`
-	Target   string `required:"" help:"The address to send to: loopback, unless --not-loopback allows others."`
-	Allow    bool   `name:"not-loopback" help:"Allow a target that is not on this machine."`
+	Scenario   string `arg:"" help:"A scenario's file, or the name of one of the library."`
+	Target     string `required:"" help:"The address to send to: loopback, unless --not-loopback allows others. For the plug-in that of discovery, for RADIUS that of access."`
+	Protocol   string `enum:"http1,plugin,radius" default:"http1" help:"How calls go: http1, plugin (in this process, to servers that discovery names) or radius."`
+	Daemon     string `help:"With the plug-in: the daemon that its calls go by while it is there."`
+	Accounting string `help:"With RADIUS: the address for what carries a key."`
+	SecretFile string `help:"With RADIUS: a file with the secret; without it FAWN_RADIUS_SECRET is taken."`
+	Realm      string `help:"With RADIUS: the realm behind users' names."`
+	Allow      bool   `name:"not-loopback" help:"Allow a target that is not on this machine."`
 	reportFlags
 }
 
+// protocol is the way that was asked for; end closes it.
+func (c *loadRunCmd) protocol(classes []load.Class) (p load.Protocol, end func(), err error) {
+	addresses := []struct{ flag, addr string }{{"--target", c.Target}, {"--daemon", c.Daemon}, {"--accounting", c.Accounting}}
+	for _, a := range addresses {
+		if a.addr != "" && !c.Allow {
+			if err := loopback(a.addr); err != nil {
+				return nil, nil, fmt.Errorf("%s: %w", a.flag, err)
+			}
+		}
+	}
+	switch c.Protocol {
+	case "plugin":
+		p, err := protocol.NewPlugin(client.Config{Discovery: c.Target, Daemon: c.Daemon}, classes)
+		if err != nil {
+			return nil, nil, err
+		}
+		return p, p.Close, nil
+	case "radius":
+		r := &protocol.RADIUS{Realm: c.Realm}
+		if r.Access, err = netip.ParseAddrPort(c.Target); err != nil {
+			return nil, nil, fmt.Errorf("--target: %w", err)
+		}
+		if r.Accounting, err = netip.ParseAddrPort(c.Accounting); err != nil {
+			return nil, nil, fmt.Errorf("--accounting: %w", err)
+		}
+		secret, err := hidden(c.SecretFile, "FAWN_RADIUS_SECRET")
+		if err != nil {
+			return nil, nil, fmt.Errorf("--secret-file: %w", err)
+		}
+		if secret == "" {
+			return nil, nil, errNoSecret
+		}
+		r.Secret = []byte(secret)
+		return r, func() {}, nil
+	}
+	return &load.HTTP1{Addr: c.Target}, func() {}, nil
+}
+
 // loopback says whether an address is one of this machine's own.
 func loopback(addr string) error {
 	host, _, err := net.SplitHostPort(addr)
@@ -209,17 +255,17 @@
 
 // Run sends a scenario's load.
 func (c *loadRunCmd) Run(s *streams) error {
-	if !c.Allow {
-		if err := loopback(c.Target); err != nil {
-			return fmt.Errorf("--target: %w", err)
-		}
-	}
 	sc, err := rehearse.Read(c.Scenario)
 	if err != nil {
 		return err
 	}
+	way, closeWay, err := c.protocol(sc.Classes)
+	if err != nil {
+		return err
+	}
+	defer closeWay()
 	rep, err := c.watched(s, sc.Name, func(ctx context.Context, view func(load.Progress), _ func(string)) (*load.Report, error) {
-		cfg, end, err := sc.Run(load.Config{Protocol: &load.HTTP1{Addr: c.Target}, View: view})
+		cfg, end, err := sc.Run(load.Config{Protocol: way, View: view})
 		if err != nil {
 			return nil, err
 		}
@@ -276,6 +322,7 @@
 
 type rehearseCmd struct {
 	Scenario string `arg:"" optional:"" help:"The name of one of the library, or a file."`
+	By       string `enum:"daemon,plugin,both" default:"daemon" help:"Who decides: the daemon, the plug-in in the clients' process, or the plug-in by way of the daemon."`
 	List     bool   `help:"List the library."`
 	Log      bool   `help:"Show the daemon's log."`
 	reportFlags
@@ -301,7 +348,7 @@
 		slog.SetDefault(slog.New(slog.DiscardHandler))
 	}
 	rep, err := c.watched(s, sc.Name, func(ctx context.Context, view func(load.Progress), note func(string)) (*load.Report, error) {
-		return rehearse.Run(ctx, sc, view, note)
+		return rehearse.Run(ctx, sc, rehearse.By(c.By), view, note)
 	})
 	if err != nil {
 		return err
--- a/internal/load/http1.go
+++ b/internal/load/http1.go
@@ -22,17 +22,23 @@
 // errClose is with a good reply whose connection ends.
 var errClose = errors.New("load: last answer of its connection")
 
+// Local makes an error of a system call ErrLocal where it is this machine that lacks
+// something.
+func Local(err error) error {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return fmt.Errorf("%w: %w", ErrLocal, err)
+		}
+	}
+	return err
+}
+
 // Dial implements Protocol.
 func (h *HTTP1) Dial(deadline time.Time) (Conn, error) {
 	d := net.Dialer{Deadline: deadline, KeepAlive: -1}
 	c, err := d.Dial("tcp", h.Addr)
 	if err != nil {
-		for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
-			if errors.Is(err, e) {
-				return nil, fmt.Errorf("%w: %w", ErrLocal, err)
-			}
-		}
-		return nil, err
+		return nil, Local(err)
 	}
 	host := h.Host
 	if host == "" {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -358,14 +358,16 @@
 	r.end(j, reply, why)
 }
 
-// retries says whether a client asks again: after a refusal always, after anything else
-// only what may run again.
+// retries says whether a client asks again: after a refusal always, after what it did
+// wrong itself never, after anything else only what may run again.
 func retries(c *Class, r Reply) bool {
-	switch r.Status {
-	case 200:
+	switch {
+	case r.Status == 200:
 		return false
-	case 429, 503:
+	case r.Status == 429 || r.Status == 503:
 		return true
+	case r.Status >= 400 && r.Status < 500 && r.Status != 408:
+		return false
 	}
 	return c.Effect == Safe
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -1,13 +1,16 @@
 package load
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -102,6 +105,25 @@
 	return rep
 }
 
+// piped is servers at the other end of pipes: HTTP1's own code in virtual time. It holds
+// a goroutine a connection, until that is closed.
+type piped func(r *http.Request, c net.Conn)
+
+func (serve piped) Dial(time.Time) (Conn, error) {
+	c, s := net.Pipe()
+	go func() {
+		defer s.Close()
+		for br := bufio.NewReader(s); ; {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			serve(r, s)
+		}
+	}()
+	return &http1{Conn: c, br: bufio.NewReader(c), host: "app"}, nil
+}
+
 // exact is the quantile of what was worked out, in milliseconds.
 func exact(all []time.Duration, p float64) float64 {
 	slices.Sort(all)
@@ -123,15 +145,32 @@
 	}
 	for name, c := range map[string]struct {
 		conns int
-		world func(begin *time.Time) *world
+		world func(begin *time.Time) Protocol
 		took  func(at time.Duration) time.Duration
 	}{
-		"a server that stops": {5000, func(begin *time.Time) *world {
+		"a reader that stops": {5000, func(begin *time.Time) Protocol {
+			return piped(func(r *http.Request, c net.Conn) {
+				time.Sleep(stalled(time.Since(*begin))) // the body waits in the sender
+				io.Copy(io.Discard, r.Body)
+				time.Sleep(work)
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+			})
+		}, func(at time.Duration) time.Duration { return work + stalled(at) }},
+		"an answer that stops half way": {5000, func(begin *time.Time) Protocol {
+			return piped(func(r *http.Request, c net.Conn) {
+				io.Copy(io.Discard, r.Body)
+				time.Sleep(work)
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo")
+				time.Sleep(stalled(time.Since(*begin)))
+				io.WriteString(c, "dy")
+			})
+		}, func(at time.Duration) time.Duration { return work + stalled(at+work) }},
+		"a server that stops": {5000, func(begin *time.Time) Protocol {
 			return &world{do: func(now time.Time, _ *Call) (time.Duration, Reply, error) {
 				return work + stalled(now.Sub(*begin)), Reply{Status: 200}, nil
 			}}
 		}, func(at time.Duration) time.Duration { return work + stalled(at) }},
-		"connections that don't come up": {5000, func(begin *time.Time) *world {
+		"connections that don't come up": {5000, func(begin *time.Time) Protocol {
 			return &world{
 				dial: func(now time.Time) (time.Duration, error) { return stalled(now.Sub(*begin)), nil },
 				do: func(time.Time, *Call) (time.Duration, Reply, error) {
@@ -139,7 +178,7 @@
 				},
 			}
 		}, func(at time.Duration) time.Duration { return work + stalled(at) }},
-		"half an answer": {5000, func(begin *time.Time) *world {
+		"half an answer": {5000, func(begin *time.Time) Protocol {
 			return &world{do: func(now time.Time, _ *Call) (time.Duration, Reply, error) {
 				if at := now.Sub(*begin); at >= from && at < from+stall {
 					return time.Hour, Reply{}, nil // begins, and never ends
@@ -158,6 +197,7 @@
 				begin := time.Now().Add(10 * time.Millisecond) // as Run has it
 				s := constant(200, 10*time.Second)
 				s.Limits.Connections = c.conns
+				s.Classes[0].Effect, s.Classes[0].Body = Once, 20000
 				rep := play(t, s, c.world(&begin))
 				var want []time.Duration
 				for a := s.plan().Arrivals(); ; {
--- a/internal/rehearse/rehearse.go
+++ b/internal/rehearse/rehearse.go
@@ -14,7 +14,9 @@
 	"sync"
 	"time"
 
+	"chalkrack/client"
 	"chalkrack/internal/load"
+	"chalkrack/internal/load/protocol"
 	"chalkrack/internal/rig"
 	"chalkrack/internal/standin"
 )
@@ -59,8 +61,34 @@
 	lag time.Duration // the most that discovery was told to lag
 }
 
+// By says who decides on a rehearsal's calls.
+type By string
+
+// The ways of a rehearsal's calls.
+const (
+	ByDaemon By = "daemon"
+	ByPlugin By = "plugin" // in the clients' process, with the daemon's settings
+	ByBoth   By = "both"   // the plug-in by way of the daemon
+)
+
+// protocol is the way of the calls; end closes it.
+func (r *rehearsal) protocol(by By, daemon string) (p load.Protocol, end func(), err error) {
+	if by == ByDaemon {
+		return &load.HTTP1{Addr: daemon}, func() {}, nil
+	}
+	cfg := client.Config{Platform: r.site.JSON(daemon, r.s.Seed), Seed: r.s.Seed, MaxCalls: r.s.Limits.Outstanding, MaxConns: r.s.Limits.Connections, Log: slog.Default()}
+	if by == ByBoth {
+		cfg.Daemon = daemon
+	}
+	plugin, err := protocol.NewPlugin(cfg, r.s.Classes)
+	if err != nil {
+		return nil, nil, err
+	}
+	return plugin, plugin.Close, nil
+}
+
 // Run plays a scenario with a site. view and note may be nil.
-func Run(ctx context.Context, s *load.Scenario, view func(load.Progress), note func(string)) (*load.Report, error) {
+func Run(ctx context.Context, s *load.Scenario, by By, view func(load.Progress), note func(string)) (*load.Report, error) {
 	if s.Site == nil {
 		return nil, fmt.Errorf("rehearse: scenario %q has no [site]", s.Name)
 	}
@@ -77,7 +105,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("rehearse: %w", err)
 	}
-	cfg, closeSource, err := s.Run(load.Config{Protocol: &load.HTTP1{Addr: d.Addr}, View: view})
+	way, closeWay, err := r.protocol(by, d.Addr)
+	if err != nil {
+		d.Stop()
+		return nil, fmt.Errorf("rehearse: %w", err)
+	}
+	defer closeWay()
+	cfg, closeSource, err := s.Run(load.Config{Protocol: way, View: view})
 	if err != nil {
 		d.Stop()
 		return nil, err
--- a/internal/rehearse/rehearse_test.go
+++ b/internal/rehearse/rehearse_test.go
@@ -75,24 +75,30 @@
 servers = [3]
 `
 
-// A rehearsal plays its events under load, and every rule is kept and said to be.
+// A rehearsal plays its events under load, and every rule is kept and said to be,
+// whoever decides on the calls.
 func TestRehearsal(t *testing.T) {
-	s, err := load.ParseScenario([]byte(short))
-	if err != nil {
-		t.Fatal(err)
-	}
-	var notes []string
-	rep, err := Run(t.Context(), s, nil, func(text string) { notes = append(notes, text) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	if rep.Sent != 120 || len(notes) != 7 {
-		t.Errorf("%d sent, notes %q", rep.Sent, notes)
-	}
-	for _, f := range rep.Judged {
-		if !f.Kept {
-			t.Errorf("%+v", f)
-		}
+	for _, by := range []By{ByDaemon, ByPlugin, ByBoth} {
+		t.Run(string(by), func(t *testing.T) {
+			t.Parallel()
+			s, err := load.ParseScenario([]byte(short))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var notes []string
+			rep, err := Run(t.Context(), s, by, nil, func(text string) { notes = append(notes, text) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rep.Sent != 120 || len(notes) != 7 {
+				t.Errorf("%d sent, notes %q", rep.Sent, notes)
+			}
+			for _, f := range rep.Judged {
+				if !f.Kept {
+					t.Errorf("%+v", f)
+				}
+			}
+		})
 	}
 }
 
@@ -106,7 +112,7 @@
 	s.Events = nil
 	s.Aims.Earned = 1
 	s.Length /= 10
-	rep, err := Run(t.Context(), s, nil, nil)
+	rep, err := Run(t.Context(), s, ByDaemon, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
