--- a/admit.go
+++ b/admit.go
@@ -32,7 +32,7 @@
 	cfg     *Config
 	level   float64
 	at      time.Duration // of the last change of level
-	share   []float64     // of arrivals, by rank: class, then class above share
+	share   []float64     // of arrivals, by rank: twice the class, and 1 where it is above its share
 	ranked  []int
 	tenants []bucket
 }
@@ -47,17 +47,17 @@
 	b.tokens, b.at = min(b.tokens+rate*(now-b.at).Seconds(), max(1, burst)), now
 }
 
-func newAdmitter(cfg *Config) admitter {
-	n := 2 * len(cfg.Classes)
-	a := admitter{cfg: cfg, share: make([]float64, n), tenants: make([]bucket, len(cfg.Tenants))}
-	for i := range n {
+// newAdmitter goes on with what old has learned.
+func newAdmitter(cfg *Config, old admitter) admitter {
+	a := admitter{cfg: cfg, level: old.level, at: old.at, share: slices.Clone(old.share), tenants: slices.Clone(old.tenants)}
+	for i := range 2 * len(cfg.Classes) {
 		a.ranked = append(a.ranked, i)
+		if i >= len(a.share) { // at first all classes have an equal one
+			a.share = append(a.share, float64((i+1)%2)/float64(len(cfg.Classes)))
+		}
 	}
-	for i := range cfg.Classes {
-		a.share[i] = 1 / float64(len(cfg.Classes))
-	}
-	for i, allowed := range cfg.Tenants {
-		a.tenants[i].tokens = allowed / float64(cfg.Instances) * shareBurst.Seconds()
+	for _, allowed := range cfg.Tenants[len(a.tenants):] {
+		a.tenants = append(a.tenants, bucket{tokens: allowed / float64(cfg.Instances) * shareBurst.Seconds()})
 	}
 	slices.SortStableFunc(a.ranked, func(i, j int) int { return cmp.Compare(a.worth(i), a.worth(j)) })
 	return a
@@ -65,21 +65,20 @@
 
 // worth is by work, of which the aim is the only sign.
 func (a *admitter) worth(rank int) float64 {
-	if c := rank - len(a.cfg.Classes); c >= 0 {
-		return a.worth(c) * a.cfg.OverShareWorth
-	}
-	return a.cfg.Classes[rank].Worth / a.cfg.Classes[rank].Aim.Seconds()
+	c, part := &a.cfg.Classes[rank/2], [2]float64{1, a.cfg.OverShareWorth}
+	return c.Worth / c.Aim.Seconds() * part[rank%2]
 }
 
 func (a *admitter) meanWorth() (m float64) {
 	for r, share := range a.share {
-		m += share * a.worth(r%len(a.cfg.Classes))
+		m += share * a.worth(r&^1)
 	}
 	return m
 }
 
 // arrived counts an arrival and returns its rank.
-func (a *admitter) arrived(class, tenant int, now time.Duration) int {
+func (a *admitter) arrived(class, tenant int, now time.Duration) (rank int) {
+	rank = 2 * class
 	if tenant >= 0 && tenant < len(a.tenants) {
 		rate := a.cfg.Tenants[tenant] / float64(a.cfg.Instances)
 		t := &a.tenants[tenant]
@@ -87,14 +86,14 @@
 		if t.tokens >= 1 {
 			t.tokens--
 		} else {
-			class += len(a.cfg.Classes)
+			rank++
 		}
 	}
 	for i := range a.share {
 		a.share[i] *= 1 - 1.0/arrivalMemory
 	}
-	a.share[class] += 1.0 / arrivalMemory
-	return class
+	a.share[rank] += 1.0 / arrivalMemory
+	return rank
 }
 
 // odds is the probability with which a request of the rank is shed now.
--- a/balancer.go
+++ b/balancer.go
@@ -9,8 +9,10 @@
 package chalkrack
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -150,8 +152,9 @@
 	// Attempts lowers Config.MaxAttempts; 0: it does not. With 1 a tier before this
 	// one decides: the request earns no budget here and spends none.
 	Attempts int
-	Only     string // the one server that may take it; empty: any
-	Coming   bool   // its body is not kept and still on its way: Attempts is 1, and Whole comes
+	Only     string  // the one server that may take it; empty: any
+	Under    *Config // rules it to its end, with its own of Classes; nil: the Balancer's
+	Coming   bool    // its body is not kept and still on its way: Attempts is 1, and Whole comes
 }
 
 // Outcome is how an attempt ended.
@@ -230,11 +233,7 @@
 
 // New returns a Balancer for cfg that draws its random numbers from seed.
 func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
-	if err := cfg.Validate(); err != nil {
-		return nil, err
-	}
 	b := &Balancer{
-		cfg:      cfg,
 		host:     host,
 		rng:      rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		reissue:  newReissuer(cfg.WasteCost),
@@ -243,14 +242,28 @@
 		retries:  retriesMax,
 	}
 	b.fleet = fleet{cfg: &b.cfg, taken: 1, byName: make(map[string]*server), rand: b.rng.Float64}
-	b.admit = newAdmitter(&b.cfg)
-	b.cfg.Probes = cfg.Probes && probesEach*cfg.ProbeCost <= probePrice
+	if err := b.Adopt(cfg); err != nil {
+		return nil, err
+	}
 	if cfg.AskWithin > 0 {
 		b.askCookie = b.setTimer(time.Duration(b.rng.Float64() * 0.8 * float64(cfg.AskWithin)))
 	}
 	return b, nil
 }
 
+// Adopt goes on under cfg with all that was learned. Classes and Tenants keep their
+// places: there may be more, not fewer.
+func (b *Balancer) Adopt(cfg Config) error {
+	if err := cfg.Validate(); err != nil {
+		return err
+	}
+	b.cfg = cfg
+	b.admit = newAdmitter(&b.cfg, b.admit)
+	b.cfg.Probes = cfg.Probes && probesEach*cfg.ProbeCost <= probePrice
+	b.reissue.budget = newReissuer(cfg.WasteCost).budget
+	return nil
+}
+
 func (b *Balancer) setTimer(after time.Duration) uint64 {
 	b.cookies++
 	b.host.SetTimer(b.cookies, after)
@@ -285,15 +298,16 @@
 	if b.requests[r.ID] != nil {
 		return
 	}
-	if r.Class < 0 || r.Class >= len(b.cfg.Classes) {
+	if r.Under == nil {
+		r.Under = &b.cfg
+	}
+	if r.Class < 0 || r.Class >= len(r.Under.Classes) {
 		b.host.Refuse(r.ID, 0)
 		return
 	}
-	q := &request{Request: r, class: &b.cfg.Classes[r.Class], arrived: now}
-	if r.Attempts < 1 || r.Attempts > b.cfg.MaxAttempts {
-		q.Attempts = b.cfg.MaxAttempts
-	}
-	if b.cfg.WarmKeys {
+	q := &request{Request: r, class: &r.Under.Classes[r.Class], arrived: now}
+	q.Attempts = min(cmp.Or(max(r.Attempts, 0), r.Under.MaxAttempts), r.Under.MaxAttempts)
+	if r.Under.WarmKeys {
 		q.key = hashName(r.Key)
 	}
 	b.requests[r.ID] = q
@@ -393,7 +407,7 @@
 	switch {
 	case q.ended || q.streamed || len(q.attempts) >= q.Attempts || now >= q.Deadline:
 		return false
-	case q.out > 0 && !b.cfg.SecondCopies:
+	case q.out > 0 && !q.Under.SecondCopies:
 		return false
 	case q.class.Effect == Safe || anchor == nil:
 		return true
@@ -408,14 +422,9 @@
 		return false
 	}
 	may := func(s *server) bool {
-		if q.Only != "" && q.Only != s.name {
+		if q.Only != "" && q.Only != s.name || slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == s }) {
 			return false
 		}
-		for i := range q.attempts {
-			if q.attempts[i].to == s {
-				return false
-			}
-		}
 		return anchor == nil || q.class.Effect != Keyed || sameGroup(q.class.Scope, anchor.to, s)
 	}
 	s := b.fleet.pick(now, q.key, func(s *server) bool { return !s.barredFor(q.Class, now) && may(s) })
@@ -450,12 +459,10 @@
 
 // Started says that an answer has begun to stream: the client has its attempt.
 func (b *Balancer) Started(now time.Duration, id RequestID, n int) {
-	q := b.requests[id]
-	if q == nil || n < 0 || n >= len(q.attempts) {
-		return
+	if q := b.requests[id]; q != nil && n >= 0 && n < len(q.attempts) {
+		q.streamed = true
+		b.cancelOthers(q, n)
 	}
-	q.streamed = true
-	b.cancelOthers(q, n)
 }
 
 // Whole says that the last byte of a Coming request has come: its time counts from now.
@@ -520,7 +527,7 @@
 	switch o {
 	case OK:
 		s.out.failures, s.out.spells = 0, 0
-		if s.barred != nil {
+		if q.Class < len(s.barred) {
 			s.barred[q.Class] = bar{}
 		}
 	case ServerError, ConnectFailed, Reset, TimedOut:
@@ -556,7 +563,7 @@
 }
 
 func (b *Balancer) cancelOthers(q *request, n int) {
-	if !b.cfg.MayCancel || q.out == 0 {
+	if !q.Under.MayCancel || q.out == 0 {
 		return
 	}
 	for i := range q.attempts {
@@ -575,8 +582,8 @@
 
 func (b *Balancer) end(q *request) {
 	b.close(q)
-	if q.refusable() {
-		b.host.Refuse(q.ID, time.Duration((0.5+b.rng.Float64()/2)*float64(b.cfg.MaxRetryAfter)))
+	if e := q.class.Effect; e == Safe || e == Keyed && q.class.Scope == ScopeAll || q.anchor() == nil {
+		b.host.Refuse(q.ID, time.Duration((0.5+b.rng.Float64()/2)*float64(q.Under.MaxRetryAfter)))
 	} else {
 		b.host.Fail(q.ID)
 	}
@@ -589,10 +596,6 @@
 	b.forget(q)
 }
 
-func (q *request) refusable() bool {
-	return q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Scope == ScopeAll || q.anchor() == nil
-}
-
 func (b *Balancer) forget(q *request) {
 	if q.ended && q.out == 0 {
 		delete(b.requests, q.ID)
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -246,3 +246,72 @@
 		t.Errorf("%d sends without a copy drawn, want 1", len(r.servers))
 	}
 }
+
+// Another configuration in the middle goes on with what was learned, and a request keeps
+// the one that it came under: its attempts, its class, its copies.
+func TestAdopt(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tenants = []float64{30}
+	var servers []Endpoint
+	for n := range 4 {
+		servers = append(servers, Endpoint{Name: fmt.Sprint("s", n), Hint: 1})
+	}
+	b, r := newTest(t, cfg, servers...)
+	old, strict := cfg, cfg
+	old.MaxAttempts, strict.MaxAttempts = 3, 1
+	strict.Classes = append(slices.Clone(cfg.Classes), Class{Aim: 50 * ms, Worth: 2, Effect: Unsafe})
+	b.Arrive(0, Request{ID: 1, Class: 2, Tenant: -1, Deadline: time.Second, Under: &old})
+	for n := range 3 * ejectAfter { // one server fails
+		b.fleet.failed(b.fleet.byName["s1"], time.Duration(n)*ms)
+	}
+	b.admit.level, b.admit.tenants[0].tokens = 0.4, 0.25
+	share, rank := b.admit.share[4], b.admit.arrived(2, 0, 0)
+	strict.ColdFor = 30 * time.Second
+	if err := b.Adopt(strict); err != nil {
+		t.Fatal(err)
+	}
+	if s := b.fleet.byName["s1"]; s.out.until == 0 || b.admit.level != 0.4 || b.admit.tenants[0].tokens != 0.25 && rank != 5 || len(b.admit.share) != 8 || b.admit.share[4] > share {
+		t.Errorf("what was learned is gone: %+v", b.admit)
+	}
+	b.ServersChanged(0, []Endpoint{{Name: "cold", Hint: 1, Started: time.Millisecond}})
+	if s := b.fleet.byName["cold"]; b.fleet.warmth(s, 20*time.Second) == 1 {
+		t.Error("a server is warm by the rules before")
+	}
+	b.Arrive(ms, Request{ID: 2, Class: 3, Tenant: -1, Deadline: time.Second, Under: &strict})
+	b.Arrive(ms, Request{ID: 3, Class: 3, Tenant: -1, Deadline: time.Second, Under: &old}) // it knows no such class
+	for id := range RequestID(2) {
+		for n := range 3 {
+			b.Done(2*ms, id+1, n, Full, false, Report{})
+		}
+	}
+	sends := make(map[string]int)
+	for _, s := range r.got {
+		sends[s]++
+	}
+	if sends["send 1"] != 3 || sends["send 2"] != 1 || sends["refuse 1"] != 1 || sends["refuse 2"] != 1 || sends["refuse 3"] != 1 {
+		t.Errorf("%v", sends)
+	}
+	// A copy that was planned before is sent after: the request may have one, though no new
+	// one may.
+	b.admit.level, b.reissue.q, b.reissue.d, b.reissue.tokens = 0, 1, 0.1, 2
+	strict.SecondCopies, strict.MaxAttempts = false, 2
+	b.Arrive(3*ms, Request{ID: 4, Tenant: -1, Deadline: time.Second, Under: &old})
+	b.Arrive(3*ms, Request{ID: 5, Tenant: -1, Deadline: time.Second, Under: &strict})
+	if err := b.Adopt(strict); err != nil {
+		t.Fatal(err)
+	}
+	for _, timer := range r.timers[len(r.timers)-2:] {
+		b.Timer(20*ms, timer)
+	}
+	sends = make(map[string]int)
+	for _, s := range r.got {
+		sends[s]++
+	}
+	if sends["send 4"] != 2 || sends["send 5"] != 1 {
+		t.Errorf("copies: %v", sends)
+	}
+	b.fleet.classFailed(b.fleet.byName["s2"], 3, 0) // of a class that came with the change
+	if bad := strict; b.Adopt(func() Config { bad.MaxAttempts = 0; return bad }()) == nil || b.cfg.MaxAttempts != 2 {
+		t.Error("a bad configuration is taken, or half of it")
+	}
+}
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -20,6 +20,9 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // from the first: unhandled, it would end the process
 	c, err := daemon.Load(os.Getenv)
+	if err == nil {
+		c, err = daemon.Recall(c)
+	}
 	if err == nil {
 		daemon.Tune(c)
 		err = daemon.Run(c, term, hup, nil)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -3,6 +3,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,6 +14,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -23,6 +25,7 @@
 	headMost   = 8 << 10
 	callWait   = 5 * time.Second
 	answerMost = 4 << 20
+	askMost    = 9 << 20
 )
 
 // Server serves a socket. It holds connsMost connections at most; more wait.
@@ -32,9 +35,14 @@
 	done chan struct{}
 }
 
-// Listen serves pages, each at /v1/NAME, on a socket at a path. One that a dead process
-// left is replaced, one that answers is not. The error names the path.
-func Listen(path string, pages map[string]func() any) (*Server, error) {
+// Deed is something that operators ask for, with a text of up to askMost bytes. Its
+// error is answered as it reads.
+type Deed func(text []byte) (any, error)
+
+// Listen serves pages, each at /v1/NAME, on a socket at a path, and deeds, which are
+// asked for by POST. One that a dead process left is replaced, one that answers is not.
+// The error names the path.
+func Listen(path string, pages map[string]func() any, deeds map[string]Deed) (*Server, error) {
 	if c, err := net.DialTimeout("unix", path, callWait); err == nil {
 		c.Close()
 		return nil, fmt.Errorf("admin: %s: another process serves it", path)
@@ -76,6 +84,21 @@
 			w.Write(append(text, '\n'))
 		})
 	}
+	for name, deed := range deeds {
+		mux.HandleFunc("POST /v1/"+name, func(w http.ResponseWriter, r *http.Request) {
+			text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, askMost))
+			var v any
+			if err == nil {
+				v, err = deed(text)
+			}
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusConflict)
+				return
+			}
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(v)
+		})
+	}
 	s := &Server{path: path, done: make(chan struct{}), http: &http.Server{
 		Handler: mux, ReadTimeout: callWait, WriteTimeout: callWait, IdleTimeout: callWait, MaxHeaderBytes: headMost,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0),
@@ -123,15 +146,35 @@
 	return err
 }
 
+// Refused is what a process says to a deed that it does not do.
+type Refused string
+
+// Error implements error.
+func (r Refused) Error() string { return string(r) }
+
 // Ask asks a socket for a page, into v.
 func Ask(ctx context.Context, path, page string, v any) error {
+	return ask(ctx, path, http.MethodGet, page, nil, v)
+}
+
+// Do asks a socket for a deed, and for what it says of it into v. An error is Refused
+// where the process was asked and did nothing.
+func Do(ctx context.Context, path, deed string, with, v any) error {
+	text, err := json.Marshal(with)
+	if err != nil {
+		return fmt.Errorf("admin: %w", err)
+	}
+	return ask(ctx, path, http.MethodPost, deed, text, v)
+}
+
+func ask(ctx context.Context, path, method, page string, text []byte, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	t := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "unix", path)
 	}}
 	defer t.CloseIdleConnections()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://admin/v1/"+page, nil)
+	r, err := http.NewRequestWithContext(ctx, method, "http://admin/v1/"+page, bytes.NewReader(text))
 	if err != nil {
 		return fmt.Errorf("admin: %w", err)
 	}
@@ -142,6 +185,12 @@
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
+	case http.StatusConflict:
+		why, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+		if err != nil {
+			return fmt.Errorf("admin: %s: %w", path, err)
+		}
+		return Refused(strings.TrimSpace(string(why)))
 	case http.StatusNotFound:
 		return fmt.Errorf("admin: %s: the process shows no %s: it is off there", path, page)
 	default:
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
 	"path/filepath"
@@ -17,6 +18,12 @@
 	path := filepath.Join(dir, "s")
 	type view struct{ N int }
 	pages := map[string]func() any{"status": func() any { return view{7} }}
+	deeds := map[string]Deed{"set": func(text []byte) (any, error) {
+		if string(text) != `{"N":8}` {
+			return nil, errors.New("only 8 will do")
+		}
+		return view{9}, nil
+	}}
 	// One that a dead process left: a socket that nobody serves.
 	ln, err := net.Listen("unix", path)
 	if err != nil {
@@ -24,7 +31,7 @@
 	}
 	ln.(*net.UnixListener).SetUnlinkOnClose(false)
 	ln.Close()
-	s, err := Listen(path, pages)
+	s, err := Listen(path, pages, deeds)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,6 +47,13 @@
 	if err := Ask(t.Context(), path, "bodies", &v); err == nil || !strings.Contains(err.Error(), "off there") {
 		t.Errorf("a page that is not there: %v", err)
 	}
+	if err := Do(t.Context(), path, "set", view{8}, &v); err != nil || v.N != 9 {
+		t.Errorf("a deed: %+v, %v", v, err)
+	}
+	var refused Refused
+	if err := Do(t.Context(), path, "set", view{7}, &v); !errors.As(err, &refused) || refused != "only 8 will do" {
+		t.Errorf("a deed that is refused: %v", err)
+	}
 	c, err := net.Dial("unix", path)
 	if err != nil {
 		t.Fatal(err)
@@ -50,7 +64,7 @@
 		t.Errorf("a POST: %q, %v", p, err)
 	}
 	c.Close()
-	if _, err := Listen(path, pages); err == nil || !strings.Contains(err.Error(), "another process") {
+	if _, err := Listen(path, pages, deeds); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Errorf("a socket that is served: %v", err)
 	}
 	// Connections that say nothing hold no more than their bound.
@@ -79,10 +93,23 @@
 	if err := os.WriteFile(file, []byte("x"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Listen(file, pages); err == nil {
+	if _, err := Listen(file, pages, deeds); err == nil {
 		t.Error("a file was taken for a socket's place")
 	}
 	if err := Ask(context.Background(), path, "status", &v); err == nil {
 		t.Error("nobody is there, and answers")
 	}
 }
+
+// A text that is longer than any configuration is not held.
+func TestLongText(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	s, err := Listen(path, nil, map[string]Deed{"set": func([]byte) (any, error) { return 1, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if err := Do(t.Context(), path, "set", strings.Repeat("x", askMost), new(int)); err == nil {
+		t.Error("a text without end is taken")
+	}
+}
--- a/internal/change/document.go
+++ b/internal/change/document.go
@@ -8,8 +8,11 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"reflect"
 	"slices"
 	"strconv"
@@ -143,6 +146,7 @@
 	Field    string
 	Old, New string // empty: it is not there
 	Takes    string // what it needs or costs
+	Live     bool   // it can be made while the daemon runs
 }
 
 // String is the change as a line.
@@ -199,7 +203,8 @@
 	p := new(Plan)
 	for _, path := range paths {
 		a, b := old[path], now[path]
-		c := Change{path, a.String(), b.String(), takes(path)}
+		takes, live := takes(path)
+		c := Change{path, a.String(), b.String(), takes, live}
 		if a.secret && b.secret {
 			c.New = "another secret"
 		}
@@ -216,13 +221,50 @@
 	return p, nil
 }
 
-// takes says what a change of a field needs: so far only the address of discovery is
-// taken while the daemon runs.
-func takes(path string) string {
-	if path == "discovery" {
-		return "SIGHUP: one connection to discovery"
+// Waiting are the changes that can't be made while the daemon runs.
+func (p *Plan) Waiting() (all []Change) {
+	for _, c := range p.Changes {
+		if !c.Live {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// onlyStart are settings that the parts of a daemon are made of: the zone by which it
+// ordered its servers, and whether it asks discovery or is told.
+var onlyStart = map[string]bool{"settings.zone": true, "settings.registryMode": true}
+
+// takes says what a change of a field needs and costs, and whether it can be made while
+// the daemon runs.
+func takes(path string) (needs string, live bool) {
+	const otherwise = " where [config] is on, else the next start"
+	switch {
+	case path == "discovery":
+		return "SIGHUP: one connection to discovery", true
+	case path == "listen":
+		return "a switch, with a listener beside the old one until it is kept," + otherwise, true
+	case path == "settings.caps.connIdleUs":
+		return "a switch that closes connections idle for longer," + otherwise, true
+	case strings.HasPrefix(path, "settings.") && !onlyStart[path], strings.HasPrefix(path, "features.paths["), strings.HasPrefix(path, "features.answers."):
+		return "a switch" + otherwise, true
+	}
+	return "the next start", false
+}
+
+// Sum names what a document says, whatever its form; what a change does not concern, and
+// where discovery is, are left out.
+func Sum(d Document) (string, error) {
+	all, err := flatten(d)
+	if err != nil {
+		return "", err
+	}
+	delete(all, "discovery")
+	h := sha256.New()
+	for _, path := range slices.Sorted(maps.Keys(all)) {
+		fmt.Fprintf(h, "%q=%q\n", path, all[path].text)
 	}
-	return "next start"
+	return hex.EncodeToString(h.Sum(nil)), nil
 }
 
 // between cuts the part of a path in brackets after a prefix.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/generation"
 )
 
 // Caller is one call's side toward whoever made it. The core ends each call that has
@@ -51,9 +52,12 @@
 	Wait     time.Duration // how long the caller waits from Received on; 0: as long as the class may
 	Received time.Time
 	Limits   *Limits // nil: those of the settings only
-	Payload  any     // for the transport
-	Caller   Caller
-	Retry    bool // its caller's, told for the log
+	// Under is the generation that the call lives under, as Host.Stamp or Host.Route gave
+	// it when the call began to come; zero: the one that it arrives in.
+	Under   generation.Stamp
+	Payload any // for the transport
+	Caller  Caller
+	Retry   bool // its caller's, told for the log
 
 	state *call
 }
@@ -81,6 +85,7 @@
 	Deadline time.Time // when the core stops waiting
 	NotAfter time.Time // when it is too late to begin; zero: never
 	Once     bool      // must not run twice
+	Pass     bool      // a 4xx is the answer
 	Sink     Sink
 }
 
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -5,9 +5,12 @@
 	"log/slog"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/bake"
+	"chalkrack/internal/generation"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/settings"
 )
@@ -24,7 +27,6 @@
 // that belongs to it. The Balancer's wishes are written down under the lock and
 // carried out after it is freed, by whoever brought the event.
 type Host struct {
-	set       *settings.Settings
 	transport Transport
 	directory Directory
 	log       func() *slog.Logger
@@ -33,8 +35,12 @@
 	start time.Time
 	unix  time.Duration // at start
 
+	view   atomic.Pointer[generation.View] // of gens, to be read without the lock
+	stamps atomic.Uint64                   // given out in trials
+
 	mu      sync.Mutex
 	b       *chalkrack.Balancer
+	gens    *generation.Machine
 	held    map[chalkrack.RequestID]*call
 	last    chalkrack.RequestID
 	marks   marks
@@ -52,6 +58,7 @@
 // Config is what a Host is told.
 type Config struct {
 	Settings  *settings.Settings
+	First     *generation.Generation // in place of Settings
 	Seed      uint64
 	Transport Transport
 	Directory Directory    // nil where the list comes unasked
@@ -68,13 +75,14 @@
 	c        *Call
 	deadline time.Duration
 	class    *chalkrack.Class // nil: unknown
+	at       int              // the class's place; -1: unknown
 	attempts []*attempt
 	out      int
 	over     bool
 	coming   bool // its body is not whole
 
-	story *Story // nil: not told
-	came  time.Duration
+	story *Story        // nil: not told
+	came  time.Duration // or when it was whole
 }
 
 // repeatBefore is when it is too late to repeat a keyed request: a window after the
@@ -111,8 +119,16 @@
 // directory says.
 func New(cfg Config) (*Host, error) {
 	start := time.Now()
+	first := cfg.First
+	if first == nil {
+		first = &generation.Generation{Settings: cfg.Settings}
+	}
+	gens, err := generation.New(first)
+	if err != nil {
+		return nil, err
+	}
 	h := &Host{
-		set:       cfg.Settings,
+		gens:      gens,
 		transport: cfg.Transport,
 		directory: cfg.Directory,
 		log:       slog.Default, // each time anew: a program may set it late
@@ -124,9 +140,9 @@
 	if cfg.Log != nil {
 		h.log = func() *slog.Logger { return cfg.Log }
 	}
+	h.view.Store(gens.View())
 	h.alarm = time.AfterFunc(time.Hour, h.ring)
-	var err error
-	h.locked(func(time.Duration) { h.b, err = chalkrack.New(cfg.Settings.Config, cfg.Seed, h) })
+	h.locked(func(time.Duration) { h.b, err = chalkrack.New(*first.Rules(), cfg.Seed, h) })
 	if err != nil {
 		h.alarm.Stop()
 	}
@@ -170,10 +186,17 @@
 			}
 		}
 	}()
+	if c.Under.Gen == nil {
+		c.Under = h.Stamp()
+	}
+	gen := c.Under.Gen
+	set := gen.Settings
 	h.locked(func(now time.Duration) {
-		if h.closed || h.set.MostHeld > 0 && len(h.held) >= h.set.MostHeld {
+		class := gen.Class(c.Class)
+		if h.closed || set.MostHeld > 0 && len(h.held) >= set.MostHeld {
 			h.log().Warn("call refused", "held", len(h.held), "closed", h.closed)
-			h.act(action{kind: actRefuse, caller: c.Caller, after: h.set.Config.MaxRetryAfter / 10, unsent: true})
+			h.gens.Bad(c.Under, class, bake.Refused)
+			h.act(action{kind: actRefuse, caller: c.Caller, after: set.Config.MaxRetryAfter / 10, unsent: true})
 			h.act(action{kind: actRelease, caller: c.Caller})
 			return
 		}
@@ -187,19 +210,18 @@
 			h.act(action{kind: actRelease, caller: c.Caller})
 			return
 		}
-		class := h.set.Class([]byte(c.Class))
 		wait := c.Wait
 		if wait == 0 {
-			wait = h.set.DeadlineOf(c.Class)
+			wait = set.DeadlineOf(c.Class)
 		}
 		deadline := now - time.Since(c.Received) + limits.Coming + within(wait)
 		if h.quitAt > 0 {
 			deadline = min(deadline, h.quitAt)
 		}
 		h.last++
-		q := &call{id: h.last, c: c, deadline: deadline, coming: limits.Coming > 0}
+		q := &call{id: h.last, c: c, deadline: deadline, at: class, came: now, coming: limits.Coming > 0}
 		if class >= 0 {
-			q.class = &h.set.Config.Classes[class]
+			q.class = &gen.Rules().Classes[class]
 		}
 		c.state = q
 		h.held[q.id] = q
@@ -208,12 +230,13 @@
 		h.b.Arrive(now, chalkrack.Request{
 			ID:       q.id,
 			Class:    class,
-			Tenant:   h.set.Tenant([]byte(c.Tenant)),
+			Tenant:   gen.Tenant(c.Tenant),
 			Key:      c.Key,
 			Deadline: deadline,
 			Attempts: limits.attempts(),
 			Only:     limits.Only,
 			Coming:   q.coming,
+			Under:    gen.Rules(),
 		})
 	})
 }
@@ -241,9 +264,9 @@
 		}
 		wait := c.Wait
 		if wait == 0 {
-			wait = h.set.DeadlineOf(c.Class)
+			wait = c.Under.Gen.Settings.DeadlineOf(c.Class)
 		}
-		q.coming = false
+		q.coming, q.came = false, now
 		q.deadline = min(q.deadline, now+within(wait))
 		h.after(alarm{at: q.deadline, q: q})
 		h.b.Whole(now, q.id, q.deadline)
@@ -284,9 +307,6 @@
 	h.ready = ready
 }
 
-// Known says whether there is a class of that name.
-func (h *Host) Known(class string) bool { return h.set.Class([]byte(class)) >= 0 }
-
 // EmptyBudgets takes the budgets of retries and copies away. They are earned anew by
 // the calls that come.
 func (h *Host) EmptyBudgets() { h.locked(func(time.Duration) { h.b.EmptyBudgets() }) }
@@ -370,6 +390,7 @@
 		N:        a.n,
 		Deadline: now.Add(timeout),
 		Once:     q.class != nil && q.class.Effect == chalkrack.Unsafe,
+		Pass:     q.c.Under.Gen.PassClientErrors,
 		Sink:     a,
 	}
 	if l := q.c.Limits; l != nil {
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -50,35 +50,28 @@
 func (h *Host) begins(now time.Duration, q *call) {
 	if h.story != nil {
 		q.story = &Story{ID: uint64(q.id), State: h.b.ViewState(now), ListAge: millis(now - h.listedAt)}
-		q.came = now
 	}
 }
 
 // sends notes what is known of an attempt's server.
 func (h *Host) sends(now time.Duration, q *call, a *attempt) {
 	if s := q.story; s != nil {
-		s.Attempts = append(s.Attempts, AttemptStory{Server: a.to, Sent: millis(now - q.came), Outcome: "under way", Before: h.b.ViewServer(now, a.to, h.classOf(q))})
+		s.Attempts = append(s.Attempts, AttemptStory{Server: a.to, Sent: millis(now - q.came), Outcome: "under way", Before: h.b.ViewServer(now, a.to, q.at)})
 	}
 }
 
-func (h *Host) classOf(q *call) int {
-	if q.c == nil {
-		return -1
-	}
-	return h.set.Class([]byte(q.c.Class))
-}
-
 // attemptEnded notes how an attempt went.
 func (h *Host) attemptEnded(now time.Duration, a *attempt, o chalkrack.Outcome) {
 	if s := a.q.story; s != nil && a.n < len(s.Attempts) {
 		t := &s.Attempts[a.n]
 		t.Took, t.Outcome, t.Phase = millis(now-a.sent), outcomes[o], a.send.Phase()
-		t.After = h.b.ViewServer(now, a.to, h.classOf(a.q))
+		t.After = h.b.ViewServer(now, a.to, a.q.at)
 	}
 }
 
-// ends notes what the client is told.
+// ends notes what the client is told, for the story and for a trial.
 func (h *Host) ends(now time.Duration, q *call, how string) {
+	h.judged(now, q, how)
 	if s := q.story; s != nil && s.End == "" {
 		s.End, s.Took, s.StateEnd = how, millis(now-q.came), h.b.ViewState(now)
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -11,6 +11,7 @@
 	"chalkrack/internal/change"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/features"
+	"chalkrack/internal/history"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/settings"
 	"chalkrack/internal/spool"
@@ -29,6 +30,13 @@
 	settings          *settings.Settings
 	asks              bool   // discovery must be asked
 	platform          []byte // the file, as read
+	own               []byte // the operators' file, as read; empty: none
+	getenv            func(string) string
+
+	// Of Recall:
+	store   *history.Store // nil: not yet
+	trial   bool           // what runs is on trial since before the start, with nothing beside it
+	lasting bool           // the store outlives the process
 }
 
 // Document is the configuration as it was read, for a comparison with another.
@@ -73,19 +81,47 @@
 // Load reads the configuration from the environment and the files it names.
 // Errors name the field.
 func Load(getenv func(string) string) (*Config, error) {
-	c, err := load(getenv)
+	platform, own, name, err := readFiles(getenv)
 	if err != nil {
 		return nil, err
 	}
-	path := getenv("FAWN_FEATURES")
+	return parse(platform, own, name, getenv)
+}
+
+// readFiles reads the two files. own is empty where the operators have none.
+func readFiles(getenv func(string) string) (platform, own []byte, name string, err error) {
+	path := getenv("BALANCER_CONFIG")
 	if path == "" {
-		path = FeaturesFile
-		if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
-			c.Features = features.Default()
-			return c, nil
+		return nil, nil, "", errors.New("BALANCER_CONFIG is not set")
+	}
+	if platform, err = os.ReadFile(path); err != nil {
+		return nil, nil, "", fmt.Errorf("BALANCER_CONFIG: %w", err)
+	}
+	name = getenv("FAWN_FEATURES")
+	if name == "" {
+		name = FeaturesFile
+		if _, err := os.Stat(name); errors.Is(err, os.ErrNotExist) {
+			return platform, nil, name, nil
 		}
 	}
-	if c.Features, err = features.Read(path); err != nil {
+	if own, err = os.ReadFile(name); err != nil {
+		return nil, nil, "", fmt.Errorf("features: %w", err)
+	}
+	return platform, own, name, nil
+}
+
+// parse checks a configuration alone; name is that of the operators' file, for errors.
+func parse(platform, own []byte, name string, getenv func(string) string) (*Config, error) {
+	c, err := parsePlatform(platform, getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.own, c.getenv = own, getenv
+	if len(own) == 0 {
+		c.Features = features.Default()
+		return c, nil
+	}
+	if c.Features, err = features.Parse(name, own); err != nil {
 		return nil, err
 	}
 	if err := c.Features.CheckClasses(func(name string) bool { return c.settings.Class([]byte(name)) >= 0 }); err != nil {
@@ -100,15 +136,7 @@
 	return c, c.Features.CheckPlatform(c.memoryMB, c.sockets, inMemory)
 }
 
-func load(getenv func(string) string) (*Config, error) {
-	path := getenv("BALANCER_CONFIG")
-	if path == "" {
-		return nil, errors.New("BALANCER_CONFIG is not set")
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
-	}
+func parsePlatform(data []byte, getenv func(string) string) (*Config, error) {
 	var raw struct {
 		Listen, Discovery string
 		Seed              string
@@ -143,6 +171,7 @@
 	if err := checkAddress(c.discovery, 1); err != nil {
 		return nil, fmt.Errorf("config: discovery: %w", err)
 	}
+	var err error
 	if c.seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("config: seed: %w", err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"chalkrack/internal/admin"
-	"chalkrack/internal/change"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/front"
@@ -35,6 +34,8 @@
 	// comes 0.7 s after that.
 	quitAfter = 300 * time.Millisecond
 	sweepEach = 2 * time.Second
+	// How often a trial's judge is asked.
+	ruleEach = 100 * time.Millisecond
 )
 
 // Tune fits the process to its limits.
@@ -64,8 +65,7 @@
 		DrainGrace:  c.settings.DrainGrace,
 		MostConns:   conns / 3,
 		// Half of the shortest aim is left for another attempt.
-		Stall:            c.settings.ShortestAim() / 2,
-		PassClientErrors: c.Features.Answers.PassClientErrors,
+		Stall: c.settings.ShortestAim() / 2,
 	})
 	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
 	if c.asks {
@@ -75,7 +75,7 @@
 		c.known.Whole = true
 		watcher.Index = c.known.Index
 	}
-	host, err := core.New(core.Config{Settings: c.settings, Seed: c.seed, Transport: pool, Directory: watcher, Story: stories(c)})
+	host, err := core.New(core.Config{First: generationOf(c, c.id()), Seed: c.seed, Transport: pool, Directory: watcher, Story: stories(c)})
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -99,16 +99,19 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Paths: c.Features.Paths, Bodies: frontBodies(c, store)}, host)
+	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Bodies: frontBodies(c, store), TellConfig: c.store != nil}, host)
+	changes := newChanger(c, host, pool, srv, watcher, ln)
+	defer changes.close()
 	if path := c.Features.Admin.Socket; path != "" {
-		operators, err := admin.Listen(path, pages(c, host, srv, pool, store))
+		all := pages(c, host, srv, pool, store)
+		deeds := changes.pages(all)
+		operators, err := admin.Listen(path, all, deeds)
 		if err != nil {
 			return err
 		}
 		defer operators.Close()
 	}
 	go srv.Serve(ln)
-	defer ln.Close()
 
 	if !c.asks {
 		listed := make(chan struct{}, 1)
@@ -124,7 +127,7 @@
 		case <-listed:
 		case <-time.After(listMost):
 		case <-term:
-			quit(c, host, srv, terminals)
+			quit(changes.longest(), host, srv, terminals)
 			return nil
 		}
 	}
@@ -136,6 +139,11 @@
 
 	sweep := time.NewTicker(sweepEach)
 	defer sweep.Stop()
+	ruling := new(time.Ticker) // never
+	if changes.on() {
+		ruling = time.NewTicker(ruleEach)
+		defer ruling.Stop()
+	}
 	for {
 		select {
 		case now := <-sweep.C:
@@ -144,9 +152,14 @@
 			// makes so little garbage that its heap climbs all day to the first collection.
 			runtime.GC()
 		case <-hup:
-			reload(c, watcher)
+			changes.reload()
+		case a := <-changes.asks:
+			v, err := a.do()
+			a.reply <- answered{v, err}
+		case <-ruling.C:
+			changes.watch()
 		case <-term:
-			quit(c, host, srv, terminals)
+			quit(changes.longest(), host, srv, terminals)
 			return nil
 		}
 	}
@@ -160,35 +173,8 @@
 	return slog.New(slog.NewJSONHandler(os.Stderr, nil))
 }
 
-// reload takes the address of discovery from the configuration as it is now. One
-// that is bad leaves the old in force.
-func reload(c *Config, watcher *discovery.Watcher) {
-	next, err := Load(fileFirst(os.Getenv))
-	if err != nil {
-		slog.Error("new configuration not taken: the old one stays in force", "err", err)
-		return
-	}
-	if plan, err := change.Compare(c.Document(), next.Document(), change.Use{}); err == nil {
-		for _, ch := range plan.Changes {
-			if ch.Field != "discovery" {
-				slog.Warn("new configuration: not taken while running", "field", ch.Field, "old", ch.Old, "new", ch.New, "takes", ch.Takes)
-			}
-		}
-		for _, r := range plan.Refusals {
-			slog.Error("new configuration: weakens what runs", "err", r)
-		}
-	}
-	if next.discovery != c.discovery {
-		slog.Info("discovery moves", "from", c.discovery, "to", next.discovery)
-		c.discovery = next.discovery
-		watcher.Move(c.discovery)
-	}
-	slog.Info("configuration read again", "discovery", c.discovery)
-}
-
-func quit(c *Config, host *core.Host, srv *front.Server, terminals *proxy.Proxy) {
+func quit(longest time.Duration, host *core.Host, srv *front.Server, terminals *proxy.Proxy) {
 	began := time.Now()
-	longest := c.settings.Longest()
 	slog.Info("stopping", "held", host.Held())
 	host.QuitAt(longest + quitAfter)
 	srv.Drain()
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -32,6 +32,8 @@
 	Log Log `toml:"log"`
 	// Admin is the operators' socket.
 	Admin Admin `toml:"admin"`
+	// Config takes changes of the configuration while the daemon runs.
+	Config Config `toml:"config"`
 
 	name  string
 	lines index
@@ -53,7 +55,7 @@
 
 // Default is a file that says nothing.
 func Default() *File {
-	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault()}
+	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault(), Config: configDefault()}
 }
 
 // Problem is one complaint about a file.
@@ -130,6 +132,7 @@
 	}
 	f.Radius.check(c)
 	f.Bodies.check(c)
+	f.Config.check(c)
 	c.need(f.Admin.Socket == "" || len(f.Admin.Socket) <= socketMost, "admin.socket", "must be %d bytes long at most", socketMost)
 }
 
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -33,12 +33,8 @@
 	x.http10 = !r.ProtoAtLeast(1, 1)
 	// The class tells what may be repeated, and servers go by the path: guards
 	// against one that does not exist and two that differ.
-	class, mapped := x.conn.srv.cfg.Paths[r.URL.Path]
-	if !mapped {
-		class, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	}
-	x.Class = class
-	if !h.Known(x.Class) {
+	var known bool
+	if x.Class, x.Under, known = h.Route(r.URL.Path); !known {
 		return http.StatusNotFound
 	}
 	if kind := r.Header.Values("Req-Kind"); len(kind) > 1 || len(kind) == 1 && kind[0] != x.Class {
@@ -173,6 +169,9 @@
 	b = append(b, http.StatusText(status)...)
 	b = append(b, "\r\n"...)
 	b = append(b, field...)
+	if x.conn.srv.cfg.TellConfig && x.Under.Gen != nil {
+		b = append(strconv.AppendInt(append(b, "Fawn-Config: "...), int64(x.Under.Gen.ID), 10), "\r\n"...)
+	}
 	b = message.AppendFields(b, h)
 	if !x.keep {
 		b = append(b, "Connection: close\r\n"...)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"chalkrack/internal/core"
+	"chalkrack/internal/generation"
 	"chalkrack/internal/message"
 )
 
@@ -45,8 +46,9 @@
 	Gone(c *core.Call) bool
 	// Ready says whether clients may come.
 	Ready() bool
-	// Known says whether there is a class of that name.
-	Known(class string) bool
+	// Route stamps a call by its path, and says which class that names and whether there
+	// is such a class for it.
+	Route(path string) (class string, under generation.Stamp, known bool)
 	// Whole says that the body of a call that came before it is whole.
 	Whole(c *core.Call)
 }
@@ -55,9 +57,8 @@
 type Config struct {
 	MostConns int   // client connections at once
 	MostBody  int64 // bytes of request bodies held at once
-	// Paths has the class of requests to some exact paths. Elsewhere the first part of
-	// the path is the class.
-	Paths map[string]string
+	// TellConfig answers with the number of the configuration that a call lived under.
+	TellConfig bool
 	// Bodies keeps request bodies; nil: all are held in memory, within MostBody.
 	Bodies *Bodies
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chalkrack/internal/core"
+	"chalkrack/internal/generation"
 	"chalkrack/internal/message"
 )
 
@@ -42,9 +43,12 @@
 	return true
 }
 
-func (f *fake) Whole(*core.Call)         {}
-func (f *fake) Ready() bool              { return true }
-func (f *fake) Known(class string) bool  { return class == "a" }
+func (f *fake) Whole(*core.Call) {}
+func (f *fake) Ready() bool      { return true }
+func (f *fake) Route(path string) (class string, under generation.Stamp, known bool) {
+	class = new(generation.Generation).ClassOfPath(path)
+	return class, under, class == "a"
+}
 func answerWhole(x *Exchange, b string)  { x.Serve(&message.Answer{Body: []byte(b)}); x.Release() }
 func echo(x *Exchange)                   { answerWhole(x, string(bytes.Join(x.Request.Body, nil))) }
 func field(name, value string) string    { return name + ": " + value + "\r\n" }
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -115,34 +115,34 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := s.Apply(documents(1), "the first"); err != nil {
+	if _, err := s.Apply(documents(1), "", "the first"); err != nil {
 		t.Fatal(err)
 	}
 	for name, change := range map[string]struct {
 		do    func(*Store) error
 		after []int // what may run at the next start
 	}{
-		"apply": {func(s *Store) error { _, err := s.Apply(documents(2), ""); return err }, []int{1, 2}},
+		"apply": {func(s *Store) error { _, err := s.Apply(documents(2), "", ""); return err }, []int{1, 2}},
 		"keep": {func(s *Store) error {
-			if _, err := s.Apply(documents(2), ""); err != nil {
+			if _, err := s.Apply(documents(2), "", ""); err != nil {
 				return err
 			}
 			return s.Keep("")
 		}, []int{1, 2}},
 		"undo": {func(s *Store) error {
-			if _, err := s.Apply(documents(2), ""); err != nil {
+			if _, err := s.Apply(documents(2), "", ""); err != nil {
 				return err
 			}
 			return s.Undo("")
 		}, []int{1, 2}},
 		"keep, and another": {func(s *Store) error {
-			if _, err := s.Apply(documents(2), ""); err != nil {
+			if _, err := s.Apply(documents(2), "", ""); err != nil {
 				return err
 			}
 			if err := s.Keep(""); err != nil {
 				return err
 			}
-			_, err := s.Apply(documents(3), "")
+			_, err := s.Apply(documents(3), "", "")
 			return err
 		}, []int{1, 2, 3}},
 	} {
@@ -173,13 +173,17 @@
 						t.Fatal(err)
 					}
 				}
-				if _, err := s.Apply(documents(9), ""); err != nil {
+				if _, err := s.Apply(documents(9), "", ""); err != nil {
 					t.Fatalf("%s, killed at step %d: %v", name, step, err)
 				}
 				if _, docs, err := s.Start(); err != nil || whole(docs) != 9 {
 					t.Fatalf("%s, killed at step %d: then %d, %v", name, step, whole(docs), err)
 				}
-				if len(d.files) != 5 {
+				want := 5 // the one on trial, the good one and the state
+				if s.State().Before != 0 {
+					want += 2
+				}
+				if len(d.files) != want {
 					t.Errorf("%s: %d files are left", name, len(d.files))
 				}
 			}
@@ -225,7 +229,7 @@
 		t.Errorf("an empty folder runs %d", n)
 	}
 	for n := 1; n <= 2; n++ {
-		if _, err := s.Apply(documents(n), ""); err != nil {
+		if _, err := s.Apply(documents(n), "", ""); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -242,7 +246,7 @@
 	if e := s.State().Events; e[len(e)-1].What != "crashed" || e[len(e)-1].ID != 2 {
 		t.Errorf("%+v", e)
 	}
-	if id, err := s.Apply(documents(3), ""); id != 3 || err != nil { // no number twice
+	if id, err := s.Apply(documents(3), "", ""); id != 3 || err != nil { // no number twice
 		t.Errorf("%d, %v", id, err)
 	}
 	for range StartsMost {
@@ -306,7 +310,7 @@
 		t.Fatal(err)
 	}
 	for n := 1; n <= 3; n++ {
-		if _, err := s.Apply(documents(n), "pushed"); err != nil {
+		if _, err := s.Apply(documents(n), "", "pushed"); err != nil {
 			t.Fatal(err)
 		}
 		if n > 1 {
@@ -319,7 +323,7 @@
 		t.Errorf("%v", err)
 	}
 	entries, err := os.ReadDir(folder)
-	if err != nil || len(entries) != 3 {
+	if err != nil || len(entries) != 5 { // of two and the state
 		t.Errorf("%v, %v", entries, err)
 	}
 	for _, e := range entries {
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -27,8 +27,15 @@
 	Last    ID // the highest number that was given out
 	Good    ID // the last one that was kept
 	Baking  ID // the one that is on trial; 0: none
+	Before  ID // the good one before; 0: none, or it is gone
 	Starts  int
 	Events  []Event
+	// Trying names what the one on trial says, Undone what the one said that was undone
+	// last: it is not tried again for being in a file.
+	Trying, Undone string
+	// Seen names what the files said when they were read last: only what differs from it
+	// is a proposal.
+	Seen string
 }
 
 const (
@@ -87,9 +94,11 @@
 	}
 	id := s.Baking
 	if what == "kept" {
-		s.Good = id
+		s.Good, s.Before = id, s.Good
+	} else {
+		s.Undone = s.Trying
 	}
-	s.Baking, s.Starts = 0, 0
+	s.Baking, s.Starts, s.Trying = 0, 0, ""
 	return s.note(at, id, what, why), nil
 }
 
@@ -112,7 +121,7 @@
 	switch {
 	case s.Version != stateVersion:
 		return fmt.Errorf("history: version %d, not %d", s.Version, stateVersion)
-	case s.Good < 0 || s.Baking < 0 || s.Starts < 0 || s.Good > s.Last || s.Baking > s.Last || s.Baking != 0 && (s.Good == 0 || s.Good == s.Baking) || len(s.Events) > eventsMost:
+	case s.Good < 0 || s.Baking < 0 || s.Before < 0 || s.Before > s.Last || s.Starts < 0 || s.Good > s.Last || s.Baking > s.Last || s.Baking != 0 && (s.Good == 0 || s.Good == s.Baking) || len(s.Events) > eventsMost:
 		return errors.New("history: the state makes no sense")
 	}
 	return nil
--- a/internal/history/store.go
+++ b/internal/history/store.go
@@ -1,12 +1,15 @@
 package history
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -105,7 +108,7 @@
 	for _, name := range names {
 		number, _, ok := strings.Cut(name, ".")
 		id, err := strconv.Atoi(number)
-		if ok && err == nil && ID(id) != s.state.Good && ID(id) != s.state.Baking {
+		if ok && err == nil && ID(id) != s.state.Good && ID(id) != s.state.Baking && ID(id) != s.state.Before {
 			s.disk.Remove(name)
 		}
 	}
@@ -114,12 +117,32 @@
 func platformFile(id ID) string { return fmt.Sprintf("%d.json", id) }
 func featuresFile(id ID) string { return fmt.Sprintf("%d.toml", id) }
 
-// Apply remembers a configuration as the one on trial; see State.Apply.
-func (s *Store) Apply(d Documents, why string) (ID, error) {
+// InMemory returns a Store that forgets with its process.
+func InMemory() *Store {
+	s, _ := open(make(memory), time.Now)
+	return s
+}
+
+// See remembers what the files say.
+func (s *Store) See(sum string) error {
+	if s.state.Seen == sum {
+		return nil
+	}
+	next := s.state
+	next.Seen = sum
+	return s.commit(next)
+}
+
+// Apply remembers a configuration as the one on trial; see State.Apply. sum names what
+// it says.
+func (s *Store) Apply(d Documents, sum, why string) (ID, error) {
 	next, err := s.state.Apply(s.now(), why)
 	if err != nil {
 		return 0, err
 	}
+	if next.Baking != 0 {
+		next.Trying = sum
+	}
 	id := s.state.Next()
 	if err := s.disk.Write(platformFile(id), d.Platform); err != nil {
 		return 0, fmt.Errorf("history: %w", err)
@@ -178,6 +201,39 @@
 	return d, nil
 }
 
+// memory is a disk of a process that has none.
+type memory map[string][]byte
+
+// Write implements disk.
+func (m memory) Write(name string, data []byte) error {
+	m[name] = bytes.Clone(data)
+	return nil
+}
+
+// Rename implements disk.
+func (m memory) Rename(from, to string) error {
+	m[to] = m[from]
+	delete(m, from)
+	return nil
+}
+
+// Read implements disk.
+func (m memory) Read(name string, _ int64) ([]byte, error) {
+	if data, ok := m[name]; ok {
+		return bytes.Clone(data), nil
+	}
+	return nil, fs.ErrNotExist
+}
+
+// Names implements disk.
+func (m memory) Names() ([]string, error) { return slices.Collect(maps.Keys(m)), nil }
+
+// Remove implements disk.
+func (m memory) Remove(name string) error {
+	delete(m, name)
+	return nil
+}
+
 // dir is a folder.
 type dir string
 
--- a/internal/rig/bodies_mix_test.go
+++ b/internal/rig/bodies_mix_test.go
@@ -138,7 +138,7 @@
 // in it, so that the CPU beside 200 clients is mostly theirs and left out.
 // go test ./internal/rig -run '^$' -bench Beside -benchtime 1x
 func BenchmarkBeside(b *testing.B) {
-	const calls, warm, rounds = 1500, 100, 5
+	const calls, warm, rounds = 3000, 200, 7
 	took, used := make(map[string][][]time.Duration), make(map[string]time.Duration)
 	// Nothing once more: how far two of the same lie apart.
 	names := []string{"nothing", "200 large bodies", "disk full", "disk hung", "nothing again"}
--- /dev/null
+++ b/internal/rig/changes_test.go
@@ -0,0 +1,435 @@
+package rig_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chalkrack/internal/admin"
+	"chalkrack/internal/daemon"
+	"chalkrack/internal/rig"
+	"chalkrack/internal/standin"
+)
+
+// edit is the platform's JSON with some of its settings changed.
+type edit func(settings map[string]any)
+
+func edited(t testing.TB, platform []byte, edits ...edit) []byte {
+	t.Helper()
+	var doc map[string]any
+	if err := json.Unmarshal(platform, &doc); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range edits {
+		e(doc["settings"].(map[string]any))
+	}
+	text, err := json.Marshal(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func caps(name string, v any) edit {
+	return func(s map[string]any) { s["caps"].(map[string]any)[name] = v }
+}
+
+func ofClass(class, name string, v any) edit {
+	return func(s map[string]any) {
+		for _, c := range s["classes"].([]any) {
+			if c := c.(map[string]any); c["name"] == class {
+				c[name] = v
+			}
+		}
+	}
+}
+
+func without(class string) edit {
+	return func(s map[string]any) {
+		s["classes"] = slices.DeleteFunc(s["classes"].([]any), func(c any) bool { return c.(map[string]any)["name"] == class })
+	}
+}
+
+func with(class string) edit {
+	return func(s map[string]any) {
+		without(class)(s)
+		s["classes"] = append(s["classes"].([]any), map[string]any{"name": class, "effect": "once", "promiseUs": 5e6, "hardLimitUs": 8e6, "worth": 1})
+	}
+}
+
+func shorter(class string, by float64) edit {
+	return func(s map[string]any) {
+		for _, c := range s["classes"].([]any) {
+			if c := c.(map[string]any); c["name"] == class {
+				c["repeatWindowUs"] = float64(int(c["repeatWindowUs"].(float64) * by))
+			}
+		}
+	}
+}
+
+// pushed is a change of the series: what it is, and what must become of it.
+type pushed struct {
+	name  string
+	edits []edit
+	want  string // kept, undone or refused
+}
+
+// kinds of changes, each with what must become of it. What a good one changes is what
+// the next ones are made from.
+func kinds(rng *rand.Rand) []pushed {
+	return []pushed{
+		{"fewer attempts", []edit{caps("attemptsCap", 3+rng.IntN(3))}, "kept"},
+		{"another wait", []edit{caps("maxRetryAfterUs", 1e6+rng.IntN(1e6))}, "kept"},
+		{"worth", []edit{ofClass("activate", "worth", 5+rng.IntN(10))}, "kept"},
+		{"a class more", []edit{with(fmt.Sprint("extra", rng.IntN(3)))}, "kept"},
+		{"shorter window", []edit{shorter("id-register", 0.95)}, "kept"},
+		{"no retries", []edit{caps("attemptsCap", 1)}, "undone"},
+		{"a class gone", []edit{without("id-register")}, "undone"},
+		{"an aim that nobody meets", []edit{ofClass("activate", "promiseUs", 100)}, "undone"},
+		{"activate may repeat", []edit{ofClass("activate", "effect", "repeatable")}, "refused"},
+		{"a longer window", []edit{ofClass("id-register", "repeatWindowUs", 9e6)}, "refused"},
+		{"a longer grace", []edit{func(s map[string]any) { s["guarantees"].(map[string]any)["drainGraceUs"] = 9e6 }}, "refused"},
+		{"no number", []edit{caps("attemptsCap", "many")}, "refused"},
+		{"another zone", []edit{func(s map[string]any) { s["zone"] = "elsewhere" }}, "refused"},
+	}
+}
+
+const changesBake = 1200 * time.Millisecond
+
+// A seeded series of good and faulty changes under load, a seventh of attempts turned away:
+// each call has one answer and lived under one configuration, whose attempts it kept to;
+// nothing took effect twice; each faulty change was refused or undone, no good one was.
+// FAWN_CHANGES=200 is the long one.
+func TestChangesUnderLoad(t *testing.T) {
+	n := len(kinds(rand.New(rand.NewPCG(0, 0))))
+	if v, err := strconv.Atoi(os.Getenv("FAWN_CHANGES")); err == nil {
+		n = v
+	}
+	classes := rig.Activation()
+	for i := range classes {
+		classes[i].Aim, classes[i].Deadline = 5*time.Second, 8*time.Second // slow machines are no fault of a change's
+	}
+	site, err := rig.NewSite(rig.SiteConfig{Servers: 6, Classes: classes, NoHedge: true, NoCopies: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer site.Close()
+	script(site, standin.Random(5, standin.Odd{Share: 0.15, Act: standin.Act{Kind: standin.Decline}}, standin.Odd{Share: 0.85, Act: standin.Act{Delay: time.Millisecond}}))
+	socket := filepath.Join(t.TempDir(), "s")
+	features := fmt.Sprintf("version = 1\n[admin]\nsocket = %q\n[config]\nenabled = true\nbake = %q\n", socket, changesBake)
+	d, err := site.StartDaemon(1, features)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	type sent struct {
+		id, class string
+		at        time.Time
+		reply     standin.Reply
+	}
+	var mu sync.Mutex
+	var calls []sent
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var load sync.WaitGroup
+	asks := []standin.Class{{Name: "status-check", Effect: standin.Safe}, {Name: "id-register", Effect: standin.Keyed}, {Name: "activate", Effect: standin.Unsafe}}
+	for g := range 12 {
+		load.Go(func() {
+			client := standin.NewClient(d.Addr)
+			defer client.Close()
+			for i := 0; ctx.Err() == nil; i++ {
+				s := sent{id: fmt.Sprintf("c%d-%d", g, i), class: asks[(g+i)%3].Name, at: time.Now()}
+				ask := standin.Ask{ID: s.id, Class: asks[(g+i)%3], Deadline: 8 * time.Second}
+				if ask.Class.Effect == standin.Keyed {
+					ask.Key = s.id
+				}
+				s.reply = client.Do(context.Background(), ask)
+				mu.Lock()
+				calls = append(calls, s)
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+
+	rng := rand.New(rand.NewPCG(7, 3))
+	attempts := map[int]int{1: 5} // by configuration
+	lacks := make(map[int]string) // the class that it does not know
+	running := site.JSON("127.0.0.1:0", 1)
+	status := func() (st daemon.ChangeStatus) {
+		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
+			t.Fatal(err)
+		}
+		return st
+	}
+	tally := make(map[string]int)
+	var switches []time.Time
+	var slowest time.Duration
+	var turn []int
+	for i := range n {
+		all := kinds(rng)
+		if len(turn) == 0 { // each kind once, in an order of its own
+			turn = rng.Perm(len(all))
+		}
+		c := all[turn[0]]
+		turn = turn[1:]
+		next := edited(t, running, c.edits...)
+		if string(next) == string(edited(t, running)) {
+			continue
+		}
+		var out daemon.Outcome
+		began := time.Now()
+		err := admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: next, Why: c.name}, &out)
+		what := "refused"
+		if err == nil && out.ID == 0 {
+			continue // the same in other words
+		}
+		if err == nil {
+			var doc struct {
+				Settings struct{ Caps struct{ AttemptsCap int } }
+			}
+			json.Unmarshal(next, &doc)
+			attempts[int(out.ID)] = doc.Settings.Caps.AttemptsCap
+			if c.name == "a class gone" {
+				lacks[int(out.ID)] = "id-register"
+			}
+			switches = append(switches, began)
+			for what = ""; what == ""; time.Sleep(10 * time.Millisecond) {
+				for _, e := range status().Events {
+					if e.ID == out.ID && e.What != "applied" {
+						what = e.What
+					}
+				}
+			}
+			slowest = max(slowest, time.Since(began))
+		}
+		if what != c.want {
+			t.Errorf("change %d, %s: %s, want %s (%v)", i, c.name, what, c.want, err)
+		}
+		if what == "kept" {
+			running = next
+		}
+		tally[c.want+" "+what]++
+	}
+	st := status()
+	stop()
+	load.Wait()
+	if err := d.Stop(); err != nil {
+		t.Error(err)
+	}
+
+	ids := site.Ledger.IDs()
+	ends, by := make(map[string]int), make(map[int]int)
+	var near, far []time.Duration
+	for _, s := range calls {
+		ends[s.reply.Verdict()]++
+		gen, _ := strconv.Atoi(s.reply.Header.Get("Fawn-Config"))
+		by[gen]++
+		count := ids[s.id]
+		switch {
+		case s.reply.Status == 0:
+			t.Errorf("%s: no answer: %v", s.id, s.reply.Err)
+		case s.reply.Status == 404 && lacks[gen] != s.class:
+			t.Errorf("%s: configuration %d knows no %s", s.id, gen, s.class)
+		case attempts[gen] == 0 || count.Attempts > attempts[gen]:
+			t.Errorf("%s: %d attempts under configuration %d, which allows %d", s.id, count.Attempts, gen, attempts[gen])
+		case count.Effects > 1 && s.class != "status-check", s.reply.Status == 200 && count.Effects == 0:
+			t.Errorf("%s: status %d, %d effects", s.id, s.reply.Status, count.Effects)
+		}
+		at := &far
+		for _, w := range switches {
+			if d := s.at.Sub(w); d > -10*time.Millisecond && d < 50*time.Millisecond {
+				at = &near
+			}
+		}
+		*at = append(*at, s.reply.Took)
+	}
+	if len(by) < 3 || ends["served"] < len(calls)/2 {
+		t.Errorf("%d calls, ends %v, by configuration %v", len(calls), ends, by)
+	}
+	quantile := func(all []time.Duration, p float64) time.Duration {
+		if len(all) == 0 {
+			return 0
+		}
+		slices.Sort(all)
+		return all[int(p*float64(len(all)-1))]
+	}
+	t.Logf("%d calls, ends %v; wanted and became: %v; verdict after %v at most; last switches %.0f us", len(calls), ends, tally, slowest.Round(time.Millisecond), st.Switches)
+	t.Logf("within 50 ms of a switch: %d calls, p50 %v, p99.9 %v; else p50 %v, p99.9 %v", len(near), quantile(near, 0.5), quantile(near, 0.999), quantile(far, 0.5), quantile(far, 0.999))
+}
+
+// The file and SIGHUP: a good change is put on trial, one during another's trial waits for
+// its end, the old file back ends a trial at once, half a file and a storm of signals do
+// nothing, what was undone is not taken again, and a listener of an undone change goes.
+func TestChangesByFile(t *testing.T) {
+	site, err := rig.NewSite(rig.SiteConfig{Servers: 2, Classes: rig.Activation()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer site.Close()
+	dir := t.TempDir()
+	socket := filepath.Join(dir, "s")
+	// No traffic: the verdict is the default's, and says so.
+	features := fmt.Sprintf("version = 1\n[admin]\nsocket = %q\n[config]\nenabled = true\nbake = \"1s\"\nfolder = %q\n", socket, dir)
+	d, err := site.StartDaemon(1, features)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Stop()
+	first := site.JSON("127.0.0.1:0", 1)
+	status := func() (st daemon.ChangeStatus) {
+		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
+			t.Fatal(err)
+		}
+		return st
+	}
+	reload := func(platform []byte) {
+		t.Helper()
+		if err := d.Reload(platform, features); err != nil {
+			t.Fatal(err)
+		}
+	}
+	until := func(what string, ok func(daemon.ChangeStatus) bool) daemon.ChangeStatus {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			st := status()
+			if ok(st) {
+				return st
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: %+v", what, st)
+			}
+		}
+	}
+	two, three := edited(t, first, caps("attemptsCap", 4)), edited(t, first, caps("attemptsCap", 3))
+	reload(first[:len(first)/2])
+	reload(two)
+	until("on trial", func(st daemon.ChangeStatus) bool { return st.Trial == 2 })
+	reload(three)
+	until("the next one waits", func(st daemon.ChangeStatus) bool { return st.Pending })
+	st := until("the first is kept, the next on trial", func(st daemon.ChangeStatus) bool { return st.Running == 2 && st.Trial == 3 })
+	if e := st.Events[len(st.Events)-2]; e.What != "kept" || !strings.Contains(e.Why, "too few calls") {
+		t.Errorf("%+v", e)
+	}
+	reload(two)
+	until("the old file ends the trial", func(st daemon.ChangeStatus) bool { return st.Running == 2 && st.Trial == 0 })
+	for range 20 {
+		reload(three) // undone before
+		reload(two)
+	}
+	reload(three)
+	time.Sleep(100 * time.Millisecond)
+	if st := status(); st.Trial != 0 || st.Running != 2 || !st.Lasting {
+		t.Errorf("what was undone is on trial again: %+v", st)
+	}
+	// Operators may mean it; and end it.
+	var out daemon.Outcome
+	if err := admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: three}, &out); err != nil || out.ID != 4 {
+		t.Fatalf("%+v, %v", out, err)
+	}
+	if err := admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: first}, &out); err == nil || !strings.Contains(err.Error(), "on trial: 4") {
+		t.Errorf("two at once: %v", err)
+	}
+	if err := admin.Do(t.Context(), socket, "config/rollback", struct{}{}, new(daemon.ChangeStatus)); err != nil {
+		t.Fatal(err)
+	}
+	if st := status(); st.Running != 2 || st.Trial != 0 {
+		t.Errorf("%+v", st)
+	}
+	// What ran before the one that runs, by the same rules as any other.
+	if err := admin.Do(t.Context(), socket, "config/rollback", struct{}{}, &out); err != nil || out.ID != 5 {
+		t.Errorf("%+v, %v", out, err)
+	}
+	// What stops in the middle of a trial starts in it, alone, and keeps it in the end.
+	if err := d.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	again, err := site.StartDaemon(1, features)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Stop()
+	if st := status(); st.Trial != 5 || !st.Alone {
+		t.Errorf("after a start: %+v", st)
+	}
+	until("kept alone", func(st daemon.ChangeStatus) bool { return st.Running == 5 && st.Trial == 0 })
+}
+
+// A daemon that is killed at any moment of a change starts under one configuration whole:
+// the one that it says, with that one's attempts. FAWN_KILLS=100 is the long one.
+func TestChangesKilled(t *testing.T) {
+	n := 6
+	if v, err := strconv.Atoi(os.Getenv("FAWN_KILLS")); err == nil {
+		n = v
+	}
+	binary := filepath.Join(t.TempDir(), "fawnrock")
+	if out, err := run("go", "build", "-o", binary, "chalkrack/cmd/fawnrock"); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	site, err := rig.NewSite(rig.SiteConfig{Servers: 6, Classes: rig.Activation(), NoHedge: true, NoCopies: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer site.Close()
+	script(site, standin.Always(standin.Act{Kind: standin.Decline}))
+	dir := t.TempDir()
+	socket := filepath.Join(dir, "s")
+	d, err := site.StartProcess(binary, 1, fmt.Sprintf("version = 1\n[admin]\nsocket = %q\n[config]\nenabled = true\nbake = \"100ms\"\nfolder = %q\n", socket, dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	platform := site.JSON(d.Addr, 1)
+	rng := rand.New(rand.NewPCG(uint64(n), 8))
+	allows := map[int]int{1: 5}
+	last, trials := 1, 0
+	for i := range n {
+		c := 1 + rng.IntN(4)
+		var st daemon.ChangeStatus
+		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
+			t.Fatal(err)
+		}
+		if st.Trial == 0 { // else the kill meets a trial that is on
+			last = 1 + int(max(st.Running, st.Events[len(st.Events)-1].ID))
+			allows[last] = c
+		}
+		applied := make(chan struct{})
+		go func() {
+			defer close(applied)
+			admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: edited(t, platform, caps("attemptsCap", c))}, new(daemon.Outcome))
+		}()
+		time.Sleep(time.Duration(rng.IntN(20000)) * time.Microsecond)
+		d.Kill()
+		<-applied
+		if err := d.Start(); err != nil {
+			t.Fatalf("kill %d: %v", i, err)
+		}
+		st = daemon.ChangeStatus{}
+		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
+			t.Fatal(err)
+		}
+		client := standin.NewClient(d.Addr)
+		id := fmt.Sprint("k", i)
+		r := client.Do(t.Context(), standin.Ask{ID: id, Class: standin.Class{Name: "status-check"}, Deadline: 10 * time.Second})
+		client.Close()
+		gen, _ := strconv.Atoi(r.Header.Get("Fawn-Config"))
+		want := int(st.Running)
+		if st.Trial != 0 {
+			want = int(st.Trial)
+			trials++
+		}
+		if got := site.Ledger.ID(id).Attempts; gen != want || got > allows[gen] || got == 0 {
+			t.Errorf("kill %d: %d attempts under configuration %d, which allows %d; status %+v", i, got, gen, allows[gen], st)
+		}
+	}
+	t.Logf("%d kills, %d of them within a trial", n, trials)
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"chalkrack/internal/daemon"
+	"chalkrack/internal/durable"
 	"chalkrack/internal/spool"
 	"chalkrack/internal/standin"
 )
@@ -175,6 +176,7 @@
 
 	// In this process:
 	term chan os.Signal
+	hup  chan os.Signal
 	done chan error
 
 	// As a process of its own:
@@ -242,8 +244,13 @@
 		return nil, err
 	}
 	c.Disk = disk
+	if c, err = daemon.Recall(c); err != nil {
+		os.RemoveAll(d.dir)
+		return nil, err
+	}
+	d.hup = make(chan os.Signal, 1)
 	ready := make(chan string, 1)
-	go func() { d.done <- daemon.Run(c, d.term, nil, func(a net.Addr) { ready <- a.String() }) }()
+	go func() { d.done <- daemon.Run(c, d.term, d.hup, func(a net.Addr) { ready <- a.String() }) }()
 	select {
 	case d.Addr = <-ready:
 		return d, nil
@@ -294,6 +301,23 @@
 	}
 }
 
+// Reload replaces the daemon's files and sends SIGHUP.
+func (d *Daemon) Reload(platform []byte, features string) error {
+	for path, data := range map[string][]byte{d.path: platform, d.features(): []byte(features)} {
+		if err := durable.Replace(path, data); err != nil {
+			return err
+		}
+	}
+	if d.binary != "" {
+		return d.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	select {
+	case d.hup <- syscall.SIGHUP:
+	default: // one is on its way: signals don't queue
+	}
+	return nil
+}
+
 // Kill ends the process with SIGKILL.
 func (d *Daemon) Kill() {
 	if d.cmd != nil && d.cmd.Process != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -229,14 +229,19 @@
 func (s *Settings) Class(name []byte) int { return index(s.classes, name) }
 
 // Names are the classes' names, by their places.
-func (s *Settings) Names() []string {
-	names := make([]string, len(s.classes))
-	for name, n := range s.classes {
+func (s *Settings) Names() []string { return byPlace(s.classes) }
+
+func byPlace(places map[string]int) []string {
+	names := make([]string, len(places))
+	for name, n := range places {
 		names[n] = name
 	}
 	return names
 }
 
+// TenantNames are the tenants' names, by their places.
+func (s *Settings) TenantNames() []string { return byPlace(s.tenants) }
+
 // Tenant is the place of a tenant, -1 if there is none of that name.
 func (s *Settings) Tenant(name []byte) int { return index(s.tenants, name) }
 
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -41,6 +41,7 @@
 	Deadline time.Time // when the sidecar stops waiting
 	NotAfter time.Time // when it is too late to begin; zero: never
 	Once     bool      // must not run twice
+	Pass     bool      // a 4xx is the answer
 	Sink     core.Sink
 
 	pool *Pool
@@ -80,6 +81,7 @@
 		Deadline: o.Deadline,
 		NotAfter: o.NotAfter,
 		Once:     o.Once,
+		Pass:     o.Pass,
 		Sink:     o.Sink,
 		pool:     p,
 	}
@@ -179,7 +181,7 @@
 }
 
 func (a *Attempt) connect(addr string) (*conn, error) {
-	d := net.Dialer{Timeout: a.pool.cfg.DialTimeout, KeepAlive: -1}
+	d := net.Dialer{Timeout: a.pool.dialTimeout(), KeepAlive: -1}
 	nc, err := d.Dial("tcp", addr)
 	if err != nil {
 		a.pool.unbook()
@@ -460,7 +462,7 @@
 		a.done(chalkrack.Reset)
 		return false
 	}
-	good := resp.StatusCode == http.StatusOK || (a.pool.cfg.PassClientErrors || early) && clientError(resp.StatusCode)
+	good := resp.StatusCode == http.StatusOK || (a.pool.cfg.PassClientErrors || a.Pass || early) && clientError(resp.StatusCode)
 	if long && good {
 		return a.stream(c, resp, ans, rep)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -94,6 +94,24 @@
 // which servers say that they close it.
 func (p *Pool) idleCap() time.Duration { return p.cfg.ConnIdle * 6 / 10 }
 
+// Times are what a change of the configuration may change of a Pool's Config.
+type Times struct{ ConnIdle, DialTimeout, DrainGrace time.Duration }
+
+// Adopt goes on with other times. What idles for too long by them goes with the next
+// Sweep or the next use.
+func (p *Pool) Adopt(t Times) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg.ConnIdle, p.cfg.DialTimeout, p.cfg.DrainGrace = t.ConnIdle, t.DialTimeout, t.DrainGrace
+	p.idleMost = min(p.idleMost, p.idleCap())
+}
+
+func (p *Pool) dialTimeout() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.DialTimeout
+}
+
 // broke takes a connection that broke as soon as a request was written.
 func (p *Pool) broke(idle time.Duration, uses int) {
 	p.mu.Lock()
--- a/pick.go
+++ b/pick.go
@@ -48,22 +48,22 @@
 
 // server is one member as this balancer sees it.
 type server struct {
-	name, zone      string
-	hash            uint64
-	group           int
-	hint            float64 // the list's capacity hint, 1 where it gives none
-	learned         float64 // corrects the hint by what was seen
-	started, warmAt time.Duration
-	serving, inSet  bool // listed as serving; in the working set
-	inFlight        int
-	out             bar     // ejects it for all classes
-	latSum, latN    float64 // fading sum and weight of relative latencies
-	load            float64 // last load report, in requests held
-	latAt, loadAt   time.Duration
-	learnedAt       time.Duration
-	priority        float64 // order among members, lowest first
-	cold            bucket  // sends that it may get while cold
-	barred          []bar   // by class, once one has failed
+	name, zone     string
+	hash           uint64
+	group          int
+	hint           float64 // the list's capacity hint, 1 where it gives none
+	learned        float64 // corrects the hint by what was seen
+	started        time.Duration
+	serving, inSet bool // listed as serving; in the working set
+	inFlight       int
+	out            bar     // ejects it for all classes
+	latSum, latN   float64 // fading sum and weight of relative latencies
+	load           float64 // last load report, in requests held
+	latAt, loadAt  time.Duration
+	learnedAt      time.Duration
+	priority       float64 // order among members, lowest first
+	cold           bucket  // sends that it may get while cold
+	barred         []bar   // by class, once one has failed
 }
 
 // bar keeps a class from a server that fails it. Guards against one that fails a
@@ -131,10 +131,7 @@
 		// What its bucket saved up while it was warm would come as one burst.
 		s.latSum, s.latN, s.learned, s.cold, s.out, s.barred = 0, 0, 1, bucket{1, now}, bar{}, nil
 	}
-	s.started, s.warmAt = e.Started, 0
-	if e.Started > 0 {
-		s.warmAt = e.Started + f.cfg.ColdFor
-	}
+	s.started = e.Started
 }
 
 func (f *fleet) replace(list []Endpoint, now time.Duration) {
@@ -152,9 +149,13 @@
 	}
 }
 
+func (f *fleet) isCold(s *server, now time.Duration) bool {
+	return s.started > 0 && now < s.started+f.cfg.ColdFor
+}
+
 // warmth is the share of its full capacity that a server surely has by now.
 func (f *fleet) warmth(s *server, now time.Duration) float64 {
-	if now >= s.warmAt || f.cfg.ColdFor <= 0 {
+	if !f.isCold(s, now) {
 		return 1
 	}
 	age := float64(max(0, now-s.started)) / float64(f.cfg.ColdFor)
@@ -366,8 +367,8 @@
 // classFailed counts an error of a class against a server, and bars it for that class
 // when they add up, as failed ejects it from all.
 func (f *fleet) classFailed(s *server, class int, now time.Duration) {
-	if s.barred == nil {
-		s.barred = make([]bar, len(f.cfg.Classes))
+	if n := len(f.cfg.Classes) - len(s.barred); n > 0 {
+		s.barred = append(s.barred, make([]bar, n)...)
 	}
 	others := 0
 	for _, m := range f.members {
@@ -379,15 +380,15 @@
 }
 
 func (s *server) barredFor(class int, now time.Duration) bool {
-	return s.barred != nil && now < s.barred[class].until
+	return class < len(s.barred) && now < s.barred[class].until
 }
 
 // coldRoom says whether a cold server can take one more send from here, guided by
 // what a warm one takes: all balancers do the same, so the sum stays under the
 // fleet's limit. Guests, which all may fall back on, get none.
 func (f *fleet) coldRoom(s *server, now time.Duration) bool {
-	if now >= s.warmAt || !s.inSet {
-		return now >= s.warmAt
+	if cold := f.isCold(s, now); !cold || !s.inSet {
+		return !cold
 	}
 	// what a warm server gets in a second, times what this one can stand
 	rate := f.taken * f.rate(now) / float64(max(1, len(f.set))) * coldPart * f.cfg.OverloadFactor * f.warmth(s, now)
@@ -400,7 +401,7 @@
 func (f *fleet) book(s *server, now time.Duration) {
 	s.inFlight++
 	f.sent, f.sentAt = f.sent*fade(now-f.sentAt, rateMemory)+1, now
-	if now < s.warmAt {
+	if f.isCold(s, now) {
 		s.cold.tokens--
 	}
 }
--- a/pick_test.go
+++ b/pick_test.go
@@ -161,7 +161,7 @@
 // fades between any two outcomes rests far lower.
 func TestShedLevelHoldsBetweenOutcomes(t *testing.T) {
 	cfg := testConfig()
-	a := newAdmitter(&cfg)
+	a := newAdmitter(&cfg, admitter{})
 	for i := range 200 { // half are late, twice a second
 		a.outcome(false, i%2 == 0, 2, time.Duration(i)*500*ms)
 	}
@@ -173,7 +173,7 @@
 // What is shed brings no answers to lower the level: a quiet balancer takes
 // larger steps, and the level fades by itself, or it outlives its cause.
 func TestShedLevelFallsWhenQuiet(t *testing.T) {
-	a := newAdmitter(&Config{Classes: make([]Class, 1)})
+	a := newAdmitter(&Config{Classes: make([]Class, 1)}, admitter{})
 	a.level = 0.6
 	for range 15 {
 		a.outcome(false, false, 1, 0)
@@ -346,11 +346,11 @@
 	cfg := testConfig()
 	cfg.Tenants, cfg.OverShareWorth = []float64{9, 9}, 0.1
 	cfg.Classes[2].Worth = 5
-	a := newAdmitter(&cfg)
+	a := newAdmitter(&cfg, admitter{})
 	within, above := 0, 0
 	for i := range 200 { // 20 dear requests a second of the first tenant, whose share here is 3
 		now := time.Duration(i) * 50 * ms
-		if a.arrived(2, 0, now) == 2 {
+		if a.arrived(2, 0, now) == 4 {
 			within++
 		} else {
 			above++
--- a/reissue.go
+++ b/reissue.go
@@ -150,8 +150,7 @@
 func successRate(x, y *survival, pairs []pair, budget, t, d float64) float64 {
 	late := x.after(t)
 	q := x.reissueOdds(d, budget)
-	saved := 1 - y.after(t-d)
-	var n, inTime float64
+	n, inTime := pairPrior, pairPrior*(1-y.after(t-d))
 	for _, p := range pairs {
 		if p.x > t {
 			n++
@@ -160,6 +159,5 @@
 			}
 		}
 	}
-	saved = (inTime + pairPrior*saved) / (n + pairPrior)
-	return 1 - late + q*late*saved
+	return 1 - late + q*late*inTime/n
 }
