Only a further attempt that is sent costs retry budget

Cause: the budget was charged before it was known whether an attempt may be made. Seen first in a test of generations, whose fifth call had one try too few. Change: the budget is looked at before and charged after.

--- a/balancer.go
+++ b/balancer.go
@@ -505,15 +505,13 @@
 		b.end(q)
 	case q.Attempts == 1 || !b.mayRetry(q) || !b.try(q, now, false):
 		b.end(q)
+	case b.retries >= 1: // only what was sent is paid for
+		b.retries--
 	}
 }
 
 func (b *Balancer) mayRetry(q *request) bool {
-	if b.retries < 1 {
-		return b.admit.worth(q.rank) >= dearFactor*b.admit.meanWorth()
-	}
-	b.retries--
-	return true
+	return b.retries >= 1 || b.admit.worth(q.rank) >= dearFactor*b.admit.meanWorth()
 }
 
 func (b *Balancer) note(q *request, a *attempt, o Outcome, now time.Duration, rep Report) {
--- a/balancer_attempts_test.go
+++ b/balancer_attempts_test.go
@@ -161,3 +161,30 @@
 		t.Errorf("its time does not count from the last byte: mean %v of the aim", b.fleet.meanLat)
 	}
 }
+
+// What can't be tried again costs no budget: else each call that may not run twice, and
+// each that has had its attempts, takes a retry from one that could have had it.
+func TestOnlyRetriesAreChargedFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		class   Class
+		only    string
+		outcome Outcome
+		sends   int
+	}{
+		"may not run twice":    {Class{Aim: time.Second, Worth: 1, Effect: Unsafe}, "", Reset, 1},
+		"has had its attempts": {Class{Aim: time.Second, Worth: 1}, "", Full, 3},
+		"no server is left":    {Class{Aim: time.Second, Worth: 1}, "a", Full, 1},
+	} {
+		b, h := fourServers(t)
+		if err := b.Adopt(Config{Instances: 1, MaxAttempts: 3, Classes: []Class{c.class}}); err != nil {
+			t.Fatal(err)
+		}
+		b.Arrive(0, Request{ID: 1, Tenant: -1, Deadline: time.Second, Only: c.only})
+		for n := 0; n < h.sends; n++ {
+			b.Done(time.Millisecond, 1, n, c.outcome, false, Report{})
+		}
+		if want := retriesMax - float64(c.sends-1); h.sends != c.sends || h.refused+h.failed != 1 || b.retries != want {
+			t.Errorf("%s: %d sends, %v retries left, want %v", name, h.sends, b.retries, want)
+		}
+	}
+}
