Routes and pools: by host, path, method, fields and source, each pool with a balancer

Need: one flat pool and no routes, so that there was nothing to import other configurations into, and one slow group of servers was everybody's. Change: [[routes]] and [[pools]], off; internal/pool says which members may get calls by their checks, with backups and a slow start, without I/O; each pool has a core, connections and limits of its own; a route may rewrite, set the class, or answer by itself.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	conns := c.sockets - socketsSpare
+	conns := c.sockets - socketsSpare - connectionsOf(c)
 	if store != nil {
 		defer store.Close()
 		conns -= filesOf(c)
@@ -95,15 +95,23 @@
 		defer terminals.Close()
 		slog.Info("radius", "access", terminals.Addr(false), "accounting", terminals.Addr(true))
 	}
+	routes, err := newRouting(c)
+	if err != nil {
+		return err
+	}
+	defer routes.close()
 	ln, err := net.Listen("tcp", c.listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Bodies: frontBodies(c, store), TellConfig: c.store != nil}, host)
+	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Bodies: frontBodies(c, store), TellConfig: c.store != nil, Choose: routes.chooser()}, host)
 	changes := newChanger(c, host, pool, srv, watcher, ln)
 	defer changes.close()
 	if path := c.Features.Admin.Socket; path != "" {
 		all := pages(c, host, srv, pool, store)
+		if routes != nil {
+			all["pools"] = func() any { return routes.status() }
+		}
 		deeds := changes.pages(all)
 		operators, err := admin.Listen(path, all, deeds)
 		if err != nil {
@@ -127,7 +135,7 @@
 		case <-listed:
 		case <-time.After(listMost):
 		case <-term:
-			quit(changes.longest(), host, srv, terminals)
+			quit(changes.longest(), host, srv, routes, terminals)
 			return nil
 		}
 	}
@@ -148,6 +156,7 @@
 		select {
 		case now := <-sweep.C:
 			pool.Sweep(now)
+			routes.sweep(now)
 			// Guards against memory that seems to grow for minutes: a quiet sidecar
 			// makes so little garbage that its heap climbs all day to the first collection.
 			runtime.GC()
@@ -159,7 +168,7 @@
 		case <-ruling.C:
 			changes.watch()
 		case <-term:
-			quit(changes.longest(), host, srv, terminals)
+			quit(changes.longest(), host, srv, routes, terminals)
 			return nil
 		}
 	}
@@ -173,10 +182,11 @@
 	return slog.New(slog.NewJSONHandler(os.Stderr, nil))
 }
 
-func quit(longest time.Duration, host *core.Host, srv *front.Server, terminals *proxy.Proxy) {
+func quit(longest time.Duration, host *core.Host, srv *front.Server, routes *routing, terminals *proxy.Proxy) {
 	began := time.Now()
 	slog.Info("stopping", "held", host.Held())
 	host.QuitAt(longest + quitAfter)
+	routes.quitAt(longest + quitAfter)
 	srv.Drain()
 	busy := func() bool { return srv.Busy() > 0 }
 	if terminals != nil {
--- /dev/null
+++ b/internal/daemon/pools.go
@@ -0,0 +1,303 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"chalkrack/internal/core"
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/features"
+	"chalkrack/internal/front"
+	"chalkrack/internal/generation"
+	"chalkrack/internal/membership"
+	"chalkrack/internal/pool"
+	"chalkrack/internal/route"
+	"chalkrack/internal/settings"
+	"chalkrack/internal/upstream"
+)
+
+// serverPool is a pool of servers with all of its own: a balancer under the one decision
+// module, connections, calls held, and where its servers come from. What is shared with
+// other pools is the process and the clients' connections.
+type serverPool struct {
+	name    string
+	host    *core.Host
+	conns   *upstream.Pool
+	watcher *discovery.Watcher // nil: a fixed list
+
+	mu      sync.Mutex
+	members *pool.Pool // nil: discovery's
+	checks  features.PoolChecks
+	start   time.Time
+	unix    time.Duration
+	wg      sync.WaitGroup
+	stop    context.CancelFunc
+}
+
+// poolSettings are the platform's, with what a pool has of its own.
+func poolSettings(c *Config, p *features.Pool) *settings.Settings {
+	s := *c.settings
+	s.MostHeld = p.MaxHeld
+	s.Config.AskWithin = 0 // its discovery is followed, not asked
+	if p.Attempts > 0 {
+		s.Config.MaxAttempts = p.Attempts
+	}
+	if p.Discovery == "" {
+		// A fixed list has no starts but those that checks see.
+		s.Config.ColdFor, s.Config.ColdFrom = time.Duration(p.SlowStart), p.Cold
+		if s.Config.OverloadFactor == 0 {
+			s.Config.OverloadFactor, s.Config.OverloadFor = 2, time.Second
+		}
+	}
+	return &s
+}
+
+func newServerPool(c *Config, p *features.Pool, seed uint64) (*serverPool, error) {
+	set := poolSettings(c, p)
+	s := &serverPool{name: p.Name, checks: p.Checks, start: time.Now()}
+	s.unix = time.Duration(s.start.UnixNano())
+	s.conns = upstream.New(upstream.Config{
+		ConnIdle: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MostConns: p.MaxConnections, Stall: set.ShortestAim() / 2,
+	})
+	var err error
+	s.host, err = core.New(core.Config{
+		First: &generation.Generation{Settings: set, Paths: c.Features.Paths, PassClientErrors: c.Features.Answers.PassClientErrors},
+		Seed:  seed, Transport: s.conns, Story: stories(c),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	if p.Discovery != "" {
+		s.watcher = &discovery.Watcher{Addr: p.Discovery, Wait: pushWait, Listed: s.host.Listed, Failed: s.host.DiscoveryFailed}
+		s.wg.Go(s.watcher.Follow)
+		return s, nil
+	}
+	var members []pool.Member
+	for _, m := range p.Servers {
+		members = append(members, pool.Member{Name: m.Name, Address: m.Address, Zone: m.Zone, Weight: m.Weight, Backup: m.Backup})
+	}
+	s.members, err = pool.New(members, pool.Checks{Every: time.Duration(p.Checks.Every), Rise: p.Checks.Rise, Fall: p.Checks.Fall})
+	if err != nil {
+		s.close()
+		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
+	}
+	s.host.Listed(s.members.List())
+	if p.Checks.Every > 0 {
+		for n, m := range members {
+			// Spread over the time between two checks: they must not come as one burst.
+			first := time.Duration(p.Checks.Every) * time.Duration(n) / time.Duration(len(members))
+			s.wg.Go(func() { s.check(ctx, m, first) })
+		}
+	}
+	return s, nil
+}
+
+// check checks one member again and again. It holds one connection at most.
+func (s *serverPool) check(ctx context.Context, m pool.Member, first time.Duration) {
+	t := time.NewTimer(first)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		t.Reset(time.Duration(s.checks.Every))
+		err := checkOnce(ctx, m.Address, s.checks.Path, time.Duration(s.checks.Timeout))
+		if ctx.Err() != nil {
+			return
+		}
+		s.mu.Lock()
+		var l *membership.List
+		if s.members.Result(s.unix+time.Since(s.start), m.Name, err == nil) {
+			l = s.members.List()
+			slog.Info("checks", "pool", s.name, "server", m.Name, "up", err == nil, "err", err)
+			s.host.Listed(l) // under the lock: lists must not overtake each other
+		}
+		s.mu.Unlock()
+	}
+}
+
+// checkOnce is one check: a connection that comes up, or a GET answered with 2xx or 3xx.
+func checkOnce(ctx context.Context, addr, path string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if path == "" {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return err
+	}
+	t := &http.Transport{DisableKeepAlives: true}
+	resp, err := t.RoundTrip(r)
+	if err != nil {
+		return err
+	}
+	io.CopyN(io.Discard, resp.Body, 64<<10)
+	resp.Body.Close()
+	if resp.StatusCode < 200 || resp.StatusCode > 399 {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+func (s *serverPool) close() {
+	s.stop()
+	if s.watcher != nil {
+		s.watcher.Close()
+	}
+	s.wg.Wait()
+	s.host.Close()
+	s.conns.Close()
+}
+
+// PoolStatus is what operators see of a pool.
+type PoolStatus struct {
+	Name        string      `json:"name"`
+	Held        int         `json:"held"`
+	Connections int         `json:"connections"`
+	Servers     []pool.View `json:"servers,omitempty"` // of a fixed list
+}
+
+func (s *serverPool) status() PoolStatus {
+	st := PoolStatus{Name: s.name, Held: s.host.Held(), Connections: s.conns.Conns()}
+	if s.members != nil {
+		s.mu.Lock()
+		st.Servers = s.members.View()
+		s.mu.Unlock()
+	}
+	return st
+}
+
+// routing is the routes with their pools; nil where there are none.
+type routing struct {
+	table *route.Table
+	pools map[string]*serverPool
+	all   []*serverPool
+}
+
+// newRouting makes the pools and the table. Errors name the pool or route.
+func newRouting(c *Config) (*routing, error) {
+	f := c.Features
+	if len(f.Routes) == 0 && len(f.Pools) == 0 {
+		return nil, nil
+	}
+	r := &routing{pools: make(map[string]*serverPool)}
+	var routes []route.Route
+	for _, e := range f.Routes {
+		m := route.Match{Hosts: e.Hosts, Paths: e.Paths, Prefixes: e.Prefixes, Regexps: e.Regexps, Methods: e.Methods}
+		for _, h := range e.Headers {
+			m.Headers = append(m.Headers, route.Header{Name: http.CanonicalHeaderKey(h.Name), Value: h.Value, Not: h.Not})
+		}
+		for _, s := range e.Sources {
+			p, err := netip.ParsePrefix(s)
+			if err != nil {
+				return nil, fmt.Errorf("route %q: sources: %w", e.Name, err)
+			}
+			m.Sources = append(m.Sources, p)
+		}
+		a := route.Action{Pool: e.Pool, Class: e.Class, Status: e.Status, Location: e.Location, Body: e.Body}
+		if a.Pool == "" && a.Status == 0 {
+			a.Pool = platformPool
+		}
+		if e.Rewrite != "" {
+			a.Rewrite = &e.Rewrite
+		}
+		routes = append(routes, route.Route{Name: e.Name, Match: m, Action: a})
+	}
+	var err error
+	if r.table, err = route.New(routes); err != nil {
+		return nil, fmt.Errorf("features: %w", err)
+	}
+	for n := range f.Pools {
+		p, err := newServerPool(c, &f.Pools[n], c.seed+uint64(n)+1)
+		if err != nil {
+			r.close()
+			return nil, err
+		}
+		r.pools[p.name] = p
+		r.all = append(r.all, p)
+	}
+	return r, nil
+}
+
+// platformPool stands for the platform's own servers; no pool can have the name.
+const platformPool = "\x00"
+
+// choose implements front.Config.Choose. What no route takes goes the platform's way.
+func (r *routing) choose(q *http.Request, from netip.Addr) front.Choice {
+	e := r.table.Find(&route.Request{Host: q.Host, Path: q.URL.Path, Method: q.Method, Source: from, Header: func(name string) []string { return q.Header[name] }})
+	if e == nil {
+		return front.Choice{}
+	}
+	c := front.Choice{Class: e.Action.Class, Status: e.Action.Status, Location: e.Action.Location, Body: e.Action.Body}
+	if e.Action.Rewrite != nil {
+		c.Path = e.Rewritten(q.URL.Path)
+	}
+	if p := r.pools[e.Action.Pool]; p != nil {
+		c.To = p.host
+	}
+	return c
+}
+
+// chooser is what a front is told; nil where there are no routes.
+func (r *routing) chooser() func(*http.Request, netip.Addr) front.Choice {
+	if r == nil {
+		return nil
+	}
+	return r.choose
+}
+
+func (r *routing) close() {
+	if r != nil {
+		for _, p := range r.all {
+			p.close()
+		}
+	}
+}
+
+func (r *routing) sweep(now time.Time) {
+	if r != nil {
+		for _, p := range r.all {
+			p.conns.Sweep(now)
+		}
+	}
+}
+
+// connections is how many to servers all pools may have.
+func connectionsOf(c *Config) (n int) {
+	for _, p := range c.Features.Pools {
+		n += p.MaxConnections
+	}
+	return n
+}
+
+func (r *routing) quitAt(in time.Duration) {
+	if r != nil {
+		for _, p := range r.all {
+			p.host.QuitAt(in)
+		}
+	}
+}
+
+func (r *routing) status() []PoolStatus {
+	all := []PoolStatus{}
+	for _, p := range r.all {
+		all = append(all, p.status())
+	}
+	return all
+}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -34,6 +34,9 @@
 	Admin Admin `toml:"admin"`
 	// Config takes changes of the configuration while the daemon runs.
 	Config Config `toml:"config"`
+	// Pools are further servers, Routes say which requests go to which of them.
+	Pools  []Pool  `toml:"pools"`
+	Routes []Route `toml:"routes"`
 
 	name  string
 	lines index
@@ -114,6 +117,7 @@
 	if bad := f.decode(data); len(bad) > 0 {
 		return nil, bad
 	}
+	f.poolDefaults()
 	c := &checker{file: f}
 	f.check(c)
 	if len(c.bad) > 0 {
@@ -133,6 +137,7 @@
 	f.Radius.check(c)
 	f.Bodies.check(c)
 	f.Config.check(c)
+	f.checkRoutes(c)
 	c.need(f.Admin.Socket == "" || len(f.Admin.Socket) <= socketMost, "admin.socket", "must be %d bytes long at most", socketMost)
 }
 
@@ -145,6 +150,9 @@
 	for _, path := range sorted(f.Paths) {
 		c.need(known(f.Paths[path]), "paths."+path, "there is no class %q", f.Paths[path])
 	}
+	for n, r := range f.Routes {
+		c.need(r.Class == "" || known(r.Class), fmt.Sprintf("routes[%d].class", n), "there is no class %q", r.Class)
+	}
 	for _, name := range sorted(f.Bodies.Shares) {
 		c.need(known(name), "bodies.shares."+name, "there is no class %q", name)
 	}
@@ -156,5 +164,10 @@
 func (f *File) CheckPlatform(memoryMB, sockets int, inMemory bool) error {
 	c := &checker{file: f}
 	f.Bodies.checkPlatform(c, memoryMB, sockets, inMemory)
+	conns := 0
+	for _, p := range f.Pools {
+		conns += p.MaxConnections
+	}
+	c.need(conns <= sockets/2, "pools", "max_connections add up to %d, over half of the platform's %d sockets", conns, sockets)
 	return c.all()
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
+	"net/netip"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +23,8 @@
 	Request message.Request
 
 	conn     *conn
+	to       Handler // who takes it
+	here     Choice  // with a Status: the answer that no server gives
 	reserved int64
 	kept     *body.Body // nil: none, or Request has it
 	tier     bool       // a tier before this one has marked it
@@ -31,10 +36,27 @@
 // parse takes r over; it returns the status to answer at once, 0 for none.
 func (x *Exchange) parse(r *http.Request, h Handler) (status int) {
 	x.http10 = !r.ProtoAtLeast(1, 1)
+	x.to = h
+	class := ""
+	if choose := x.conn.srv.cfg.Choose; choose != nil && r.URL.Path != "/_health" {
+		c := choose(r, source(x.conn.nc))
+		if c.Status != 0 {
+			x.here = c
+			return c.Status
+		}
+		if c.To != nil {
+			x.to = c.To
+		}
+		if class = c.Class; c.Path != "" {
+			r.RequestURI = (&url.URL{Path: c.Path, RawQuery: r.URL.RawQuery}).RequestURI()
+		}
+	}
 	// The class tells what may be repeated, and servers go by the path: guards
 	// against one that does not exist and two that differ.
 	var known bool
-	if x.Class, x.Under, known = h.Route(r.URL.Path); !known {
+	if x.Class, x.Under, known = x.to.Route(r.URL.Path); class != "" {
+		x.Class = class // one that routes name is known
+	} else if !known {
 		return http.StatusNotFound
 	}
 	if kind := r.Header.Values("Req-Kind"); len(kind) > 1 || len(kind) == 1 && kind[0] != x.Class {
@@ -65,6 +87,23 @@
 	return 0
 }
 
+// source is a client's address.
+func source(nc net.Conn) netip.Addr {
+	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		return a.AddrPort().Addr()
+	}
+	return netip.Addr{}
+}
+
+// answerHere answers a request that goes nowhere.
+func (x *Exchange) answerHere(status int) {
+	field := ""
+	if x.here.Location != "" {
+		field = "Location: " + x.here.Location + "\r\n"
+	}
+	x.answer(status, field, nil, []byte(x.here.Body))
+}
+
 // compose readies a request with a body that lies in memory.
 func (x *Exchange) compose(r *http.Request, body [][]byte) {
 	size := int64(-1)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -57,12 +58,25 @@
 type Config struct {
 	MostConns int   // client connections at once
 	MostBody  int64 // bytes of request bodies held at once
+	// Choose says what becomes of a request, by its head; nil: all go to the Server's
+	// Handler as they come.
+	Choose func(r *http.Request, from netip.Addr) Choice
 	// TellConfig answers with the number of the configuration that a call lived under.
 	TellConfig bool
 	// Bodies keeps request bodies; nil: all are held in memory, within MostBody.
 	Bodies *Bodies
 }
 
+// Choice is what becomes of a request.
+type Choice struct {
+	To    Handler // nil: the Server's
+	Class string  // empty: as the path names it
+	Path  string  // in place of the request's; empty: as it came
+	// Status, where it is not 0, answers here, with Location or Body.
+	Status         int
+	Location, Body string
+}
+
 // Server serves the client.
 type Server struct {
 	cfg     Config
@@ -248,7 +262,7 @@
 			c.srv.mu.Lock()
 			x := c.x
 			c.srv.mu.Unlock()
-			if x != nil && c.srv.handler.Gone(&x.Call) {
+			if x != nil && x.to.Gone(&x.Call) {
 				x.Fail()
 			}
 		}
@@ -273,7 +287,7 @@
 				}
 				continue
 			}
-			c.srv.handler.Arrive(&x.Call)
+			x.to.Arrive(&x.Call)
 			if x.kept != nil && x.kept.Coming() && !c.forward(x) {
 				return
 			}
@@ -314,7 +328,7 @@
 	if err != nil && c.x != nil {
 		x := c.x
 		s.mu.Unlock()
-		if s.handler.Gone(&x.Call) {
+		if x.to.Gone(&x.Call) {
 			return false
 		}
 		s.mu.Lock()
@@ -393,7 +407,7 @@
 		return nil, 0
 	}
 	if status != 0 {
-		x.answer(status, "", nil, nil)
+		x.answerHere(status)
 		x.Release()
 		return nil, 0
 	}
--- a/internal/front/kept.go
+++ b/internal/front/kept.go
@@ -116,7 +116,7 @@
 		}
 	}
 	if status != 0 {
-		x.answer(status, "", nil, nil)
+		x.answerHere(status)
 	} else {
 		x.keep = false
 		x.Refuse(limitRetry, true)
@@ -157,13 +157,13 @@
 		x.unread = answered
 		s.mu.Unlock()
 		if !answered {
-			s.handler.Whole(&x.Call)
+			x.to.Whole(&x.Call)
 			return true
 		}
 		c.linger()
 		return false
 	}
-	gone := err != nil && s.handler.Gone(&x.Call)
+	gone := err != nil && x.to.Gone(&x.Call)
 	if err != nil {
 		x.kept.Break()
 	}
