--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -29,6 +29,7 @@
 	Explain  explainCmd  `cmd:"" help:"Group the stories of calls that were not served in time by their causes."`
 	Load     loadCmd     `cmd:"" help:"Send load at the times of a schedule, and measure."`
 	Rehearse rehearseCmd `cmd:"" help:"Play a scenario with a daemon and stand-in servers, and judge it by the rules."`
+	Import   importCmd   `cmd:"" help:"Make settings of other programs' configurations."`
 	Bodies   bodiesCmd   `cmd:"" help:"Where a running daemon keeps request bodies, and what became of them."`
 }
 
@@ -141,6 +142,14 @@
 		switch {
 		case errors.Is(err, errBad):
 			return 1
+		case errors.Is(err, errLosses):
+			return 1
+		case errors.Is(err, errDangers):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 2
+		case errors.Is(err, errUnreadable):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 3
 		case errors.Is(err, errLimit):
 			return 2
 		case errors.Is(err, errAway):
--- a/internal/rig/bodies_mix_test.go
+++ b/internal/rig/bodies_mix_test.go
@@ -234,6 +234,76 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// BenchmarkBesideProcess is the same call with the daemon in a process of its own, which
+// its clients and servers do not share: beside nothing, 200 clients, and nothing again.
+// go test ./internal/rig -run '^$' -bench BesideProcess -benchtime 1x
+func BenchmarkBesideProcess(b *testing.B) {
+	const calls, warm, rounds = 3000, 200, 7
+	binary := filepath.Join(b.TempDir(), "fawnrock")
+	if out, err := run("go", "build", "-o", binary, "chalkrack/cmd/fawnrock"); err != nil {
+		b.Fatalf("%v\n%s", err, out)
+	}
+	p := random(1, 1<<20)
+	ratio := make(map[string][]float64)
+	for range rounds {
+		var base time.Duration
+		for _, name := range []string{"nothing", "200-large-bodies", "nothing-again"} {
+			site, err := rig.NewSite(rig.SiteConfig{Servers: 4, Classes: rig.Activation(), NoHedge: true})
+			if err != nil {
+				b.Fatal(err)
+			}
+			features := strings.NewReplacer("memory_mb = 16", "memory_mb = 64", "files = 8", "files = 64", "streams = 8", "streams = 256", "disk_mb = 16", "disk_mb = 256").Replace(bodies(b.TempDir(), ""))
+			d, err := site.StartProcess(binary, 1, features)
+			if err != nil {
+				b.Fatal(err)
+			}
+			stop := make(chan struct{})
+			var beside sync.WaitGroup
+			for g := 0; name == "200-large-bodies" && g < 200; g++ {
+				beside.Go(func() {
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						post(d.Addr, "id-register", fmt.Sprintf("b%d-%d", g, n), &slow{p: p, pause: 250 * time.Millisecond}, int64(len(p)))
+					}
+				})
+			}
+			client := standin.NewClient(d.Addr)
+			var all []time.Duration
+			for n := range calls {
+				r := client.Do(context.Background(), standin.Ask{ID: fmt.Sprint("a", n), Class: standin.Class{Name: "activate", Effect: standin.Unsafe}, Body: strings.Repeat("x", 300), Deadline: 2500 * time.Millisecond})
+				if r.Status != 200 {
+					b.Errorf("%s: an activate ends with %d, %v", name, r.Status, r.Err)
+				}
+				if n >= warm {
+					all = append(all, r.Took)
+				}
+				time.Sleep(time.Millisecond)
+			}
+			close(stop)
+			beside.Wait()
+			client.Close()
+			d.Stop()
+			site.Close()
+			slices.Sort(all)
+			p99 := all[len(all)*99/100]
+			if base == 0 {
+				base = p99
+			}
+			ratio[name] = append(ratio[name], float64(p99)/float64(base))
+		}
+	}
+	for name, all := range ratio {
+		slices.Sort(all)
+		b.ReportMetric(all[rounds/2], name+"-p99-ratio")
+		b.Logf("%s: p99 over that beside nothing, by round: %.2f", name, all)
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
 // TestMain is also a reverse proxy in a process of its own, for a benchmark.
 func TestMain(m *testing.M) {
 	target := os.Getenv("RIG_REVERSE")
