Test of imports finds its lines whatever addresses the system gave

Cause: two samples looked for text that stood behind an address. Change: the text is cut at any of the stand-ins' places. Measured: the six samples and the fuzz corpus pass.

--- a/cmd/fawnctl/import_test.go
+++ b/cmd/fawnctl/import_test.go
@@ -217,7 +217,9 @@
 			}
 			for _, s := range c.says {
 				verdict, part, _ := strings.Cut(s, "|")
-				part, _, _ = strings.Cut(part, " A")
+				for _, name := range []string{" A", " B", " C"} { // addresses are the system's
+					part, _, _ = strings.Cut(part, name)
+				}
 				if !slices.ContainsFunc(rep.Directives, func(d struct{ At, Directive, Verdict, Why string }) bool {
 					return d.Verdict == verdict && strings.Contains(d.Directive, part)
 				}) {
