The shed level of a busy balancer moves at a quiet one's pace

Cause: its steps are by outcome. Change: above 80 sends a second steps are smaller in proportion, as they are larger for quiet balancers already.

--- a/admit.go
+++ b/admit.go
@@ -16,6 +16,9 @@
 	// gainMax at most. Guards against a level that outlives its cause.
 	calmRate = 8.0
 	gainMax  = 4.0
+	// One of more than busyRate takes smaller ones, so that a level takes as long for
+	// all: what a freeze of a quarter second turned away shed all for ten seconds.
+	busyRate = 80.0
 	// shedSlack is the level that chance alone gives a calm fleet.
 	shedSlack = 0.06
 	shedMax   = 0.99 // not less: clients try again, and what is let in at each try adds up
@@ -119,7 +122,7 @@
 // outcome feeds the level with one attempt's end; rate is of sends a second.
 func (a *admitter) outcome(full, late bool, rate float64, now time.Duration) {
 	a.level, a.at = a.faded(now), now
-	gain := max(1, min(calmRate/max(rate, 0.1), gainMax))
+	gain := max(1, min(calmRate/max(rate, 0.1), gainMax)) * busyRate / max(rate, busyRate)
 	step := -calmStep
 	if late {
 		step = lateStep
--- a/pick_test.go
+++ b/pick_test.go
@@ -340,6 +340,36 @@
 	}
 }
 
+// A busy balancer whose servers all freeze for a moment has hundreds of sends turned away
+// within it: that must not shed all for many times as long, when few sends are left to
+// bring the level down.
+func TestShedLevelOfABusyBalancer(t *testing.T) {
+	cfg := testConfig()
+	const rate, still = 400.0, 250 * ms
+	a := newAdmitter(&cfg, admitter{})
+	now := time.Duration(0)
+	for ; now < still; now += time.Second / rate {
+		a.outcome(true, false, rate, now)
+	}
+	if l := a.faded(now); l > 0.25 {
+		t.Errorf("level %.2f after %v without room", l, still)
+	}
+	// One that lasts does shed, within some seconds.
+	for ; now < 4*time.Second; now += time.Second / rate {
+		a.outcome(true, false, rate, now)
+	}
+	if l := a.faded(now); l < 0.8 {
+		t.Errorf("level %.2f after four seconds without room", l)
+	}
+	// Of the few that are let in then a third meets a full server: it goes on falling.
+	for n := 0; now < 14*time.Second; n, now = n+1, now+time.Second/50 {
+		a.outcome(n%3 == 0, false, 50, now)
+	}
+	if l := a.faded(now); l > 0.2 {
+		t.Errorf("level %.2f ten seconds later", l)
+	}
+}
+
 // What a tenant asks above its share is shed before what others ask within
 // theirs, whatever the class.
 func TestShedsAboveShareFirst(t *testing.T) {
