Changes: a verdict that can't be written, one process a folder, starts by a state machine

Cause, found by reading again: an undo whose writing failed left the memory on trial and every later change refused, without a word; nothing kept two processes out of a folder; a rollback behind a start marked what ran as undone before it was known that it could go; a SIGHUP within such a trial was lost; whatever gave way to other files counted as bad. Change: what becomes of files, at a start and at SIGHUP, is State.Read, without I/O; a verdict is written again until it is; rollback plans first; the lock of spool's folders is durable.Lock and holds the history too.

--- a/internal/daemon/change.go
+++ b/internal/daemon/change.go
@@ -68,6 +68,12 @@
 	err error
 }
 
+// verdict is how a trial ended.
+type verdict struct {
+	keep bool
+	why  string
+}
+
 // changer owns the way of changes: what runs, what is on trial, and their listeners. All
 // its methods but ask run in the goroutine of Run.
 type changer struct {
@@ -84,6 +90,8 @@
 	since   time.Time // of a trial that has nothing beside it
 	pending bool      // a SIGHUP came that waits for a trial's end
 	problem string    // of the memory: what could not be written
+	owed    *verdict  // what could not be written; nil: nothing
+	owedAt  time.Time // when that was tried last
 	took    []time.Duration
 	trials  uint64
 
@@ -134,7 +142,11 @@
 // plan holds a configuration against the one that runs: all that would change, and every
 // reason why it must not be made now.
 func (g *changer) plan(next *Config) (*change.Plan, []error, error) {
-	p, err := change.Compare(g.c.Document(), next.Document(), g.use())
+	return planOf(g.c, next, g.use())
+}
+
+func planOf(running, next *Config, use change.Use) (*change.Plan, []error, error) {
+	p, err := change.Compare(running.Document(), next.Document(), use)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -149,9 +161,9 @@
 	for _, ch := range p.Changes {
 		switch {
 		case !ch.Live || !strings.HasPrefix(ch.Field, "settings."):
-		case g.c.Features.Radius.Enabled:
+		case running.Features.Radius.Enabled:
 			why = append(why, fmt.Errorf("%s: %s -> %s: [radius] goes by it and %w", ch.Field, ch.Old, ch.New, errNeedsStart))
-		case g.c.Features.Bodies.Enabled && (strings.HasSuffix(ch.Field, "].name")):
+		case running.Features.Bodies.Enabled && strings.HasSuffix(ch.Field, "].name"):
 			why = append(why, fmt.Errorf("%s: %s -> %s: [bodies] has shares by it and %w", ch.Field, ch.Old, ch.New, errNeedsStart))
 		}
 	}
@@ -177,6 +189,9 @@
 	if len(p.Changes) == 0 || len(p.Changes) == 1 && p.Changes[0].Field == "discovery" {
 		return out, nil
 	}
+	if g.owed != nil {
+		return nil, fmt.Errorf("the memory of changes can't be written, so the last verdict is not in it: %s", g.problem)
+	}
 	if g.next != nil || g.c.trial {
 		return nil, fmt.Errorf("%w: %d", history.ErrBaking, g.c.store.State().Baking)
 	}
@@ -191,30 +206,54 @@
 	if err != nil {
 		return 0, err
 	}
-	var ln net.Listener
-	if next.listen != g.c.listen {
-		if ln, err = net.Listen("tcp", next.listen); err != nil {
-			return 0, fmt.Errorf("listen: %w", err)
-		}
+	ln, err := g.stage(next)
+	if err != nil {
+		return 0, err
 	}
 	if id, err = g.c.store.Apply(next.documents(), sum, why); err != nil {
-		if ln != nil {
-			ln.Close()
-		}
+		unstage(ln)
+		return 0, err
+	}
+	if err := g.begin(next, id, ln); err != nil {
+		g.record(verdict{why: err.Error()})
 		return 0, err
 	}
+	f := &g.c.Features.Config
+	slog.Info("configuration on trial", "id", id, "why", why, "share", f.Share, "for", time.Duration(f.Bake))
+	return id, nil
+}
+
+// stage makes what a configuration needs beside what runs: a listener, if it is another
+// one.
+func (g *changer) stage(next *Config) (net.Listener, error) {
+	if next.listen == g.c.listen {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", next.listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return ln, nil
+}
+
+func unstage(ln net.Listener) {
+	if ln != nil {
+		ln.Close()
+	}
+}
+
+// begin switches: from now on next takes its share of the calls. An error leaves nothing
+// of it.
+func (g *changer) begin(next *Config, id history.ID, ln net.Listener) error {
 	f := &g.c.Features.Config
 	g.trials++
 	began := time.Now()
-	err = g.host.Try(generationOf(next, id), bake.Config{
+	err := g.host.Try(generationOf(next, id), bake.Config{
 		Share: f.Share, FalseUndo: f.FalseUndo, Notice: f.Notice, Bake: time.Duration(f.Bake), ThinUndo: f.Thin == "undo",
 	}, g.c.seed^g.trials)
 	if err != nil {
-		if ln != nil {
-			ln.Close()
-		}
-		g.remember(g.c.store.Undo(err.Error()))
-		return 0, err
+		unstage(ln)
+		return err
 	}
 	g.pool.Adopt(strictest(times(g.c), times(next)))
 	g.note(time.Since(began))
@@ -222,8 +261,7 @@
 	if ln != nil {
 		go g.srv.Serve(ln)
 	}
-	slog.Info("configuration on trial", "id", id, "why", why, "share", f.Share, "for", time.Duration(f.Bake))
-	return id, nil
+	return nil
 }
 
 // switchesMost bounds the times of switches that are kept.
@@ -243,8 +281,7 @@
 	return upstream.Times{ConnIdle: min(a.ConnIdle, b.ConnIdle), DialTimeout: max(a.DialTimeout, b.DialTimeout), DrainGrace: min(a.DrainGrace, b.DrainGrace)}
 }
 
-// remember keeps what the memory complains of, for operators to see: what was decided
-// holds for this process all the same.
+// remember keeps what the memory complains of, for operators to see.
 func (g *changer) remember(err error) {
 	g.problem = ""
 	if err != nil {
@@ -253,9 +290,32 @@
 	}
 }
 
+// owedEach is how often a verdict is tried that could not be written.
+const owedEach = time.Second
+
+// record writes a verdict down. What can't be written holds for this process all the same
+// and is tried again; until then nothing else is put on trial, and a start finds the
+// trial as it was.
+func (g *changer) record(v verdict) {
+	write := g.c.store.Undo
+	if v.keep {
+		write = g.c.store.Keep
+	}
+	err := write(v.why)
+	if g.owed, g.owedAt = nil, time.Now(); err != nil {
+		g.owed = &v
+	}
+	g.remember(err)
+}
+
 // watch ends a trial whose verdict is there.
 func (g *changer) watch() {
 	switch {
+	case g.owed != nil:
+		if time.Since(g.owedAt) >= owedEach {
+			g.record(*g.owed)
+			g.after()
+		}
 	case g.next != nil:
 		r, class, _, err := g.host.Rule()
 		if err != nil || r.Verdict == bake.Watching {
@@ -271,17 +331,33 @@
 		g.settle(r.Verdict == bake.Keep, why)
 	case g.c.trial && time.Since(g.since) >= time.Duration(g.c.Features.Config.Bake):
 		g.c.trial = false
-		g.remember(g.c.store.Keep("served since a start, with nothing beside it"))
+		g.record(verdict{true, "served since a start, with nothing beside it"})
+		g.after()
+	}
+}
+
+// after takes up what waited for a trial's end.
+func (g *changer) after() {
+	if g.pending && g.owed == nil {
+		g.pending = false
+		g.reload()
 	}
 }
 
 // settle ends the trial: it is written down first, so that a start comes out the same.
 func (g *changer) settle(keep bool, why string) {
+	g.record(verdict{keep, why})
+	g.end(keep)
 	if keep {
-		g.remember(g.c.store.Keep(why))
+		slog.Info("configuration kept", "why", why)
 	} else {
-		g.remember(g.c.store.Undo(why))
+		slog.Error("configuration undone", "why", why)
 	}
+	g.after()
+}
+
+// end switches to one generation alone.
+func (g *changer) end(keep bool) {
 	began := time.Now()
 	if err := g.host.Settle(keep); err != nil { // both sets of rules were checked
 		slog.Error("the end of a trial", "err", err)
@@ -296,36 +372,29 @@
 	}
 	g.pool.Adopt(times(winner))
 	g.note(time.Since(began))
-	if old != nil { // connections that it took go on
-		old.Close()
-	}
+	unstage(old) // connections that it took go on
 	g.c, g.next, g.nextLn = winner, nil, nil
-	if keep {
-		slog.Info("configuration kept", "why", why)
-	} else {
-		slog.Error("configuration undone", "why", why)
-	}
-	if g.pending {
-		g.pending = false
-		g.reload()
-	}
 }
 
 // settleWait is how long files must be the same to be read: guards against one that is
 // being replaced, half of which may be good TOML.
 const settleWait = 20 * time.Millisecond
 
-// readTwice reads the files until two readings agree.
-func readTwice(getenv func(string) string) (platform, own []byte, name string, err error) {
+// readTwice reads the files until two readings agree, with a pause between.
+func readTwice(getenv func(string) string, pause func()) (platform, own []byte, name string, err error) {
+	if platform, own, name, err = readFiles(getenv); err != nil {
+		return nil, nil, "", err
+	}
 	for range 10 {
-		if platform, own, name, err = readFiles(getenv); err != nil {
+		pause()
+		p, o, _, err := readFiles(getenv)
+		if err != nil {
 			return nil, nil, "", err
 		}
-		time.Sleep(settleWait)
-		p, o, _, err := readFiles(getenv)
-		if err == nil && bytes.Equal(p, platform) && bytes.Equal(o, own) {
+		if bytes.Equal(p, platform) && bytes.Equal(o, own) {
 			return platform, own, name, nil
 		}
+		platform, own = p, o
 	}
 	return nil, nil, "", errors.New("the files keep changing")
 }
@@ -335,7 +404,9 @@
 func (g *changer) reload() {
 	read := readFiles
 	if g.on() {
-		read = readTwice
+		read = func(getenv func(string) string) ([]byte, []byte, string, error) {
+			return readTwice(getenv, func() { time.Sleep(settleWait) })
+		}
 	}
 	getenv := fileFirst(g.c.getenv)
 	platform, own, name, err := read(getenv)
@@ -366,26 +437,17 @@
 	if err != nil {
 		return err
 	}
-	st := g.c.store.State()
-	switch {
-	case sum == st.Seen:
-		return nil // read before, and what operators applied since goes on
-	case sum == st.Undone:
+	switch st := g.c.store.State(); st.Read(sum) {
+	case history.Known:
+		return nil
+	case history.Rejected:
 		slog.Warn("the files hold what was undone: it is taken by 'fawnctl config apply' only")
 		return nil
-	}
-	if g.next != nil {
-		running, err := change.Sum(g.c.Document())
-		switch {
-		case err != nil:
-			return err
-		case sum == st.Trying:
-			return nil
-		case sum == running:
-			g.remember(g.c.store.See(sum))
-			g.settle(false, "the files hold the one before again")
-			return nil
-		}
+	case history.Back:
+		g.remember(g.c.store.See(sum))
+		_, err := g.back("the files hold the one before again")
+		return err
+	case history.Waits:
 		g.pending = true
 		return fmt.Errorf("%w: %d; this one waits for its end", history.ErrBaking, st.Baking)
 	}
@@ -447,32 +509,62 @@
 	return g.propose(next, p.Why, p.Plan)
 }
 
-// rollback ends a trial at once, or proposes the configuration that was kept before the
-// one that runs, by the same rules as any other.
-func (g *changer) rollback([]byte) (any, error) {
+// back ends a trial at once. One that has nothing beside it goes back to what was kept
+// before it by the same rules as any change: then the undo may be refused, and nothing is
+// done.
+func (g *changer) back(why string) (any, error) {
 	if g.next != nil {
-		g.settle(false, "by the operators")
+		g.settle(false, why)
 		return g.status(), nil
 	}
-	st := g.c.store.State()
-	id := st.Before
-	if g.c.trial {
-		id = st.Good
+	good := g.c.store.State().Good
+	next, err := g.remembered(good)
+	if err != nil {
+		return nil, err
 	}
-	if id == 0 {
-		return nil, errors.New("there is no configuration before this one")
+	_, refused, err := g.plan(next)
+	if err == nil {
+		err = errors.Join(refused...)
 	}
-	d, err := g.c.store.Documents(id)
 	if err != nil {
 		return nil, err
 	}
-	next, err := g.c.revive(d)
+	ln, err := g.stage(next)
 	if err != nil {
 		return nil, err
 	}
-	if g.c.trial { // nothing judges it: what runs is taken for undone, and goes on until then
-		g.c.trial = false
-		g.remember(g.c.store.Undo("by the operators"))
+	if err := g.begin(next, good, ln); err != nil {
+		return nil, err
+	}
+	g.c.trial = false
+	g.record(verdict{why: why})
+	g.end(true)
+	g.after()
+	return g.status(), nil
+}
+
+// remembered is a configuration that the memory has.
+func (g *changer) remembered(id history.ID) (*Config, error) {
+	d, err := g.c.store.Documents(id)
+	if err != nil {
+		return nil, err
+	}
+	return g.c.revive(d)
+}
+
+// rollback ends a trial at once, or proposes the configuration that was kept before the
+// one that runs, by the same rules as any other.
+func (g *changer) rollback([]byte) (any, error) {
+	if g.next != nil || g.c.trial {
+		return g.back("by the operators")
+	}
+	id := g.c.store.State().Before
+	if id == 0 {
+		return nil, errors.New("there is no configuration before this one")
+	}
+	next, err := g.remembered(id)
+	if err != nil {
+		return nil, err
 	}
 	return g.propose(next, fmt.Sprintf("back to %d, by the operators", id), false)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,9 @@
 // Run serves until term, and then until all that was taken is answered. At each hup
 // it reads the configuration anew. ready is told the address once it serves; nil: nobody.
 func Run(c *Config, term, hup <-chan os.Signal, ready func(net.Addr)) error {
+	if c.store != nil {
+		defer c.store.Close()
+	}
 	store, err := newStore(c)
 	if err != nil {
 		return err
--- a/internal/daemon/recall.go
+++ b/internal/daemon/recall.go
@@ -41,32 +41,32 @@
 	if id == 0 {
 		return c.first(sum)
 	}
-	state := c.store.State()
 	running, err := c.revive(remembered)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %d, as remembered: %w", id, err)
 	}
-	was, err := change.Sum(running.Document())
-	if err != nil {
-		return nil, err
-	}
-	switch {
-	case sum == was, sum == state.Seen:
-	case sum == state.Undone:
+	switch c.store.State().Read(sum) {
+	case history.Known:
+	case history.Rejected:
 		slog.Warn("the files hold what was undone: the last good configuration runs", "id", id)
-	default: // they were changed while nobody was there to read them
-		if state.Baking != 0 {
-			if err := c.store.Undo("the files held another one at a start"); err != nil {
+	case history.Back:
+		if err := c.store.Drop("the files held the one before at a start"); err != nil {
+			return nil, err
+		}
+		running = c
+	case history.Waits, history.New: // they were changed while nobody was there to read them
+		if c.store.State().Baking != 0 {
+			if err := c.store.Drop("the files held another one at a start"); err != nil {
 				return nil, err
 			}
 		}
-		if id, err = c.store.Apply(c.documents(), sum, "found in the files at a start"); err != nil {
+		if _, err = c.store.Apply(c.documents(), sum, "found in the files at a start"); err != nil {
 			return nil, err
 		}
 		running = c
 	}
 	running.trial = c.store.State().Baking != 0
-	slog.Info("configuration", "id", id, "on trial", running.trial)
+	slog.Info("configuration", "id", running.id(), "on trial", running.trial)
 	return running, c.store.See(sum)
 }
 
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -1,10 +1,12 @@
 // Package durable writes files that a process killed at any point, or a machine without
-// power, leaves whole or not there.
+// power, leaves whole or not there, and holds locks that end with their process.
 package durable
 
 import (
 	"os"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Write writes a file of mode 0600 and syncs it and its folder. Killed meanwhile it may
@@ -53,3 +55,22 @@
 	defer f.Close()
 	return f.Sync()
 }
+
+// Lock takes a file's lock, which ends with the process that holds it, whatever its
+// number was. It is tried for the time given, once at least.
+func Lock(path string, wait time.Duration) (*os.File, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|syscall.O_NOFOLLOW, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if err == nil {
+			return f, nil
+		}
+		if err != syscall.EINTR && (err != syscall.EWOULDBLOCK || time.Now().After(end)) {
+			f.Close()
+			return nil, err
+		}
+	}
+}
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -273,7 +273,7 @@
 			var err error
 			switch rapid.SampledFrom([]string{"apply", "keep", "undo", "start"}).Draw(t, "step") {
 			case "apply":
-				if s, err = s.Apply(now(), strings.Repeat("why ", 200)); (err != nil) != (before.Baking != 0) {
+				if s, err = s.Apply(now(), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "sum"), strings.Repeat("why ", 200)); (err != nil) != (before.Baking != 0) {
 					t.Fatalf("%v after %+v", err, before)
 				}
 			case "keep":
@@ -302,6 +302,51 @@
 	})
 }
 
+// What becomes of what files say, by what is kept, on trial, undone and read before.
+func TestRead(t *testing.T) {
+	kept := State{Good: 1, Last: 1, Kept: "k", Undone: "u", Seen: "s"}
+	trial := kept
+	trial.Baking, trial.Last, trial.Trying = 2, 2, "t"
+	for _, c := range []struct {
+		of   State
+		sum  string
+		want Reading
+	}{
+		{kept, "s", Known}, {kept, "k", Known}, {kept, "u", Rejected}, {kept, "n", New}, {kept, "", New},
+		{trial, "s", Known}, {trial, "t", Known}, {trial, "k", Back}, {trial, "u", Rejected}, {trial, "n", Waits},
+	} {
+		if got := c.of.Read(c.sum); got != c.want {
+			t.Errorf("%+v: %q is %d, want %d", c.of, c.sum, got, c.want)
+		}
+	}
+	// What was undone and is kept after all is no longer rejected.
+	s := State{Version: stateVersion}
+	var err error
+	step := func(next State, e error) {
+		t.Helper()
+		if s, err = next, e; err != nil {
+			t.Fatal(err)
+		}
+	}
+	at := time.Unix(0, 0)
+	step(s.Apply(at, "a", ""))
+	step(s.Apply(at, "b", ""))
+	step(s.Undo(at, ""))
+	if s.Read("b") != Rejected || s.Read("a") != Known {
+		t.Errorf("%+v", s)
+	}
+	step(s.Apply(at, "b", ""))
+	step(s.Keep(at, ""))
+	if s.Read("b") != Known || s.Read("a") != New || s.Undone != "" || s.Kept != "b" {
+		t.Errorf("%+v", s)
+	}
+	step(s.Apply(at, "c", ""))
+	step(s.Drop(at, ""))
+	if s.Read("c") != New {
+		t.Errorf("%+v", s)
+	}
+}
+
 // A folder on a real disk: modes, what is no state, documents that are gone.
 func TestFolder(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "history")
@@ -323,7 +368,7 @@
 		t.Errorf("%v", err)
 	}
 	entries, err := os.ReadDir(folder)
-	if err != nil || len(entries) != 5 { // of two and the state
+	if err != nil || len(entries) != 6 { // of two, the state and the lock
 		t.Errorf("%v, %v", entries, err)
 	}
 	for _, e := range entries {
@@ -331,10 +376,15 @@
 			t.Errorf("%s: %v, %v", e.Name(), info.Mode(), err)
 		}
 	}
+	if _, err := Open(folder); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("two at once: %v", err)
+	}
+	s.Close()
 	s, err = Open(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer s.Close()
 	if id, docs, err := s.Start(); id != 3 || whole(docs) != 3 || err != nil {
 		t.Errorf("%d, %v", id, err)
 	}
@@ -348,7 +398,7 @@
 		if err := os.WriteFile(filepath.Join(folder, "state"), []byte(bad), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := Open(folder); err == nil {
+		if _, err := open(dir(folder), clock()); err == nil {
 			t.Errorf("%q is taken", bad)
 		}
 	}
--- a/internal/history/state.go
+++ b/internal/history/state.go
@@ -17,7 +17,7 @@
 type Event struct {
 	At   time.Time
 	ID   ID
-	What string // applied, kept, undone, crashed
+	What string // applied, kept, undone, crashed, dropped
 	Why  string
 }
 
@@ -30,9 +30,9 @@
 	Before  ID // the good one before; 0: none, or it is gone
 	Starts  int
 	Events  []Event
-	// Trying names what the one on trial says, Undone what the one said that was undone
-	// last: it is not tried again for being in a file.
-	Trying, Undone string
+	// Kept names what the good one says, Trying the one on trial, Undone the one that was
+	// undone last: it is not tried again for being in a file.
+	Kept, Trying, Undone string
 	// Seen names what the files said when they were read last: only what differs from it
 	// is a proposal.
 	Seen string
@@ -68,23 +68,27 @@
 func (s State) Next() ID { return s.Last + 1 }
 
 // Apply puts the configuration Next on trial, or, with none good yet, makes it the good
-// one: there is nothing to go back to.
-func (s State) Apply(at time.Time, why string) (State, error) {
+// one: there is nothing to go back to. sum names what it says.
+func (s State) Apply(at time.Time, sum, why string) (State, error) {
 	if s.Baking != 0 {
 		return s, fmt.Errorf("%w: %d", ErrBaking, s.Baking)
 	}
 	s.Last++
 	if s.Good == 0 {
-		s.Good = s.Last
+		s.Good, s.Kept = s.Last, sum
 		return s.note(at, s.Last, "kept", why), nil
 	}
-	s.Baking, s.Starts = s.Last, 0
+	s.Baking, s.Starts, s.Trying = s.Last, 0, sum
 	return s.note(at, s.Last, "applied", why), nil
 }
 
 // Keep makes the one on trial the good one.
 func (s State) Keep(at time.Time, why string) (State, error) { return s.end(at, "kept", why) }
 
+// Drop goes back to the good one for the sake of another change: nothing was found
+// against the one on trial.
+func (s State) Drop(at time.Time, why string) (State, error) { return s.end(at, "dropped", why) }
+
 // Undo goes back to the good one.
 func (s State) Undo(at time.Time, why string) (State, error) { return s.end(at, "undone", why) }
 
@@ -93,9 +97,13 @@
 		return s, ErrIdle
 	}
 	id := s.Baking
-	if what == "kept" {
-		s.Good, s.Before = id, s.Good
-	} else {
+	switch what {
+	case "kept":
+		s.Good, s.Before, s.Kept = id, s.Good, s.Trying
+		if s.Undone == s.Kept { // operators meant it after all
+			s.Undone = ""
+		}
+	case "undone", "crashed":
 		s.Undone = s.Trying
 	}
 	s.Baking, s.Starts, s.Trying = 0, 0, ""
@@ -116,6 +124,39 @@
 	return s, s.Baking
 }
 
+// Reading is what becomes of what the files say.
+type Reading int
+
+const (
+	// Known is what was read before, or runs: what operators applied since goes on.
+	Known Reading = iota
+	// Rejected is what was undone: it is not taken from a file again.
+	Rejected
+	// Back is the good one, while another is on trial: the trial ends.
+	Back
+	// Waits is new while another is on trial.
+	Waits
+	// New is a change to be tried.
+	New
+)
+
+// Read says what becomes of files that say what sum names.
+func (s State) Read(sum string) Reading {
+	switch {
+	case sum == s.Seen, sum == s.Trying && s.Baking != 0:
+		return Known
+	case sum == s.Kept && s.Baking != 0:
+		return Back
+	case sum == s.Kept:
+		return Known
+	case sum == s.Undone:
+		return Rejected
+	case s.Baking != 0:
+		return Waits
+	}
+	return New
+}
+
 // check says whether a state that was read can be one.
 func (s State) check() error {
 	switch {
--- a/internal/history/store.go
+++ b/internal/history/store.go
@@ -36,6 +36,9 @@
 
 const (
 	stateFile = "state"
+	lockFile  = "lock"
+	// lockWait is how long a start waits for the process before it to end.
+	lockWait = time.Second
 	// documentMost bounds each file that is read, in bytes.
 	documentMost = 4 << 20
 )
@@ -47,15 +50,34 @@
 	disk  disk
 	state State
 	now   func() time.Time
+	held  *os.File // the folder's lock; nil: none
 }
 
 // Open reads what a folder remembers; it makes the folder, with mode 0700, if it is not
-// there. An error says that the folder can't be used, or holds what is no state.
+// there. An error says that the folder can't be used, that another process has it, or
+// that it holds what is no state.
 func Open(folder string) (*Store, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, fmt.Errorf("history: %w", err)
 	}
-	return open(dir(folder), time.Now)
+	held, err := durable.Lock(filepath.Join(folder, lockFile), lockWait)
+	if err != nil {
+		return nil, fmt.Errorf("history: %s: another process has it: %w", folder, err)
+	}
+	s, err := open(dir(folder), time.Now)
+	if err != nil {
+		held.Close()
+		return nil, err
+	}
+	s.held = held
+	return s, nil
+}
+
+// Close lets go of the folder.
+func (s *Store) Close() {
+	if s.held != nil {
+		s.held.Close()
+	}
 }
 
 func open(d disk, now func() time.Time) (*Store, error) {
@@ -136,13 +158,10 @@
 // Apply remembers a configuration as the one on trial; see State.Apply. sum names what
 // it says.
 func (s *Store) Apply(d Documents, sum, why string) (ID, error) {
-	next, err := s.state.Apply(s.now(), why)
+	next, err := s.state.Apply(s.now(), sum, why)
 	if err != nil {
 		return 0, err
 	}
-	if next.Baking != 0 {
-		next.Trying = sum
-	}
 	id := s.state.Next()
 	if err := s.disk.Write(platformFile(id), d.Platform); err != nil {
 		return 0, fmt.Errorf("history: %w", err)
@@ -157,17 +176,16 @@
 }
 
 // Keep makes the configuration on trial the good one.
-func (s *Store) Keep(why string) error {
-	next, err := s.state.Keep(s.now(), why)
-	if err != nil {
-		return err
-	}
-	return s.commit(next)
-}
+func (s *Store) Keep(why string) error { return s.end(State.Keep, why) }
 
 // Undo goes back to the good one.
-func (s *Store) Undo(why string) error {
-	next, err := s.state.Undo(s.now(), why)
+func (s *Store) Undo(why string) error { return s.end(State.Undo, why) }
+
+// Drop goes back to the good one for the sake of another change.
+func (s *Store) Drop(why string) error { return s.end(State.Drop, why) }
+
+func (s *Store) end(how func(State, time.Time, string) (State, error), why string) error {
+	next, err := how(s.state, s.now(), why)
 	if err != nil {
 		return err
 	}
--- a/internal/rig/changes_test.go
+++ b/internal/rig/changes_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -469,3 +470,159 @@
 	}
 	t.Logf("%d kills, %d of them within a trial", n, trials)
 }
+
+// free is an address that nobody listens at, and that no connection which goes out takes.
+func free(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// A change that moves the listener: one that can't be staged leaves nothing; on trial both
+// addresses serve; undone the new one is closed and its connections go on; kept the old
+// one is closed.
+func TestChangeOfListener(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		t.Run(fmt.Sprint("keep ", keep), func(t *testing.T) {
+			site, err := rig.NewSite(rig.SiteConfig{Servers: 1, Classes: rig.Activation()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer site.Close()
+			socket := filepath.Join(t.TempDir(), "s")
+			bake := map[bool]string{false: "10m", true: "500ms"}[keep]
+			d, err := site.StartDaemon(1, fmt.Sprintf("version = 1\n[admin]\nsocket = %q\n[config]\nenabled = true\nbake = %q\n", socket, bake))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.Stop()
+			taken, err := net.Listen("tcp", "127.0.0.3:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer taken.Close()
+			calls := 0
+			ask := func(c *standin.Client) int {
+				calls++
+				return c.Do(t.Context(), standin.Ask{ID: fmt.Sprint("l", calls), Class: standin.Class{Name: "status-check"}, Deadline: 10 * time.Second}).Status
+			}
+			move := func(to string) error {
+				text := strings.Replace(string(site.JSON("127.0.0.1:0", 1)), `"listen":"127.0.0.1:0"`, `"listen":"`+to+`"`, 1)
+				return admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: []byte(text)}, new(daemon.Outcome))
+			}
+			var st daemon.ChangeStatus
+			if err := move(taken.Addr().String()); err == nil || !strings.Contains(err.Error(), "listen") {
+				t.Errorf("a taken address: %v", err)
+			}
+			if err := admin.Ask(t.Context(), socket, "config", &st); err != nil || st.Trial != 0 || len(st.Events) != 1 {
+				t.Errorf("left behind: %+v, %v", st, err)
+			}
+			to := free(t)
+			if err := move(to); err != nil {
+				t.Fatal(err)
+			}
+			old, moved := standin.NewClient(d.Addr), standin.NewClient(to)
+			defer old.Close()
+			defer moved.Close()
+			if a := ask(moved); a != 200 {
+				t.Errorf("at the new address: %d", a)
+			}
+			gone := to
+			if keep {
+				gone = d.Addr
+			} else {
+				if a := ask(old); a != 200 {
+					t.Errorf("at the old address: %d", a)
+				}
+				if err := admin.Do(t.Context(), socket, "config/rollback", struct{}{}, &st); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for end := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+				c, err := net.Dial("tcp", gone)
+				if err != nil {
+					break
+				}
+				c.Close()
+				if time.Now().After(end) {
+					t.Fatalf("%s still listens", gone)
+				}
+			}
+			if a := ask(moved); a != 200 {
+				t.Errorf("on a connection that was there: %d", a)
+			}
+			fresh := standin.NewClient(map[bool]string{false: d.Addr, true: to}[keep])
+			defer fresh.Close()
+			if a := ask(fresh); a != 200 {
+				t.Errorf("at the address that is left: %d", a)
+			}
+		})
+	}
+}
+
+// A memory that can't be written: the undo holds, is said to be missing there and tried
+// again, and nothing else is put on trial until it is written.
+func TestVerdictThatIsNotWritten(t *testing.T) {
+	site, err := rig.NewSite(rig.SiteConfig{Servers: 1, Classes: rig.Activation()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer site.Close()
+	dir := t.TempDir()
+	socket, folder := filepath.Join(dir, "s"), filepath.Join(dir, "memory")
+	inTheWay := filepath.Join(folder, "state.new") // a folder: no file can be written there
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	d, err := site.StartDaemon(1, fmt.Sprintf("version = 1\n[admin]\nsocket = %q\n[config]\nenabled = true\nbake = \"10m\"\nfolder = %q\n", socket, folder))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Stop()
+	first := site.JSON("127.0.0.1:0", 1)
+	apply := func(attempts int) error {
+		return admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: edited(t, first, caps("attemptsCap", attempts))}, new(daemon.Outcome))
+	}
+	if err := apply(4); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(inTheWay, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	var st daemon.ChangeStatus
+	if err := admin.Do(t.Context(), socket, "config/rollback", struct{}{}, &st); err != nil || st.Problem == "" {
+		t.Errorf("%+v, %v", st, err)
+	}
+	client := standin.NewClient(d.Addr)
+	defer client.Close()
+	for n := range 8 { // the undo holds: all calls are the first one's
+		if r := client.Do(t.Context(), standin.Ask{ID: fmt.Sprint("w", n), Class: standin.Class{Name: "status-check"}, Deadline: 10 * time.Second}); r.Header.Get("Fawn-Config") != "1" {
+			t.Errorf("under %q", r.Header.Get("Fawn-Config"))
+		}
+	}
+	if err := apply(3); err == nil || !strings.Contains(err.Error(), "can't be written") {
+		t.Errorf("%v", err)
+	}
+	if err := os.Remove(inTheWay); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		st = daemon.ChangeStatus{}
+		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
+			t.Fatal(err)
+		}
+		if st.Problem == "" && st.Trial == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%+v", st)
+		}
+	}
+	if err := apply(3); err != nil {
+		t.Errorf("once it is written: %v", err)
+	}
+}
--- a/internal/spool/folder.go
+++ b/internal/spool/folder.go
@@ -7,6 +7,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"chalkrack/internal/durable"
 )
 
 const (
@@ -39,30 +41,11 @@
 // claimWait is how long a start waits for others' starts in the same folder.
 const claimWait = 5 * time.Second
 
-// lock takes a file's lock, which ends with the process that holds it, whatever its
-// number was. It is tried for the time given, once at least.
-func lock(path string, wait time.Duration) (*os.File, error) {
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|syscall.O_NOFOLLOW, 0o600)
-	if err != nil {
-		return nil, err
-	}
-	for end := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
-		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
-		if err == nil {
-			return f, nil
-		}
-		if err != syscall.EINTR && (err != syscall.EWOULDBLOCK || time.Now().After(end)) {
-			f.Close()
-			return nil, err
-		}
-	}
-}
-
 // claim makes an instance's folder within one that several share, and removes those
 // whose instances have ended. Both are done under the lock of the whole, so that no
 // sweep meets a folder whose instance has not locked it yet.
 func claim(folder string) (own string, held *os.File, err error) {
-	all, err := lock(filepath.Join(folder, lockName), claimWait)
+	all, err := durable.Lock(filepath.Join(folder, lockName), claimWait)
 	if err != nil {
 		return "", nil, fmt.Errorf("spool: %w", err)
 	}
@@ -79,7 +62,7 @@
 	if own, err = os.MkdirTemp(folder, prefix); err != nil { // of mode 0700
 		return "", nil, fmt.Errorf("spool: %w", err)
 	}
-	if held, err = lock(filepath.Join(own, lockName), 0); err != nil {
+	if held, err = durable.Lock(filepath.Join(own, lockName), 0); err != nil {
 		os.RemoveAll(own)
 		return "", nil, fmt.Errorf("spool: %w", err)
 	}
@@ -88,7 +71,7 @@
 
 // sweep removes a folder unless its instance lives.
 func sweep(path string) {
-	held, err := lock(filepath.Join(path, lockName), 0)
+	held, err := durable.Lock(filepath.Join(path, lockName), 0)
 	if err != nil {
 		return
 	}
