--- a/balancer_test.go
+++ b/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -15,6 +16,7 @@
 	servers []string // by send
 	timers  []uint64
 	delays  []time.Duration
+	after   []time.Duration // of refusals
 }
 
 func (r *recorder) say(format string, args ...any) {
@@ -24,12 +26,15 @@
 	r.servers = append(r.servers, server)
 	r.say("send %d", id)
 }
-func (r *recorder) Cancel(id RequestID, n int)           { r.say("cancel %d/%d", id, n) }
-func (r *recorder) Refuse(id RequestID, _ time.Duration) { r.say("refuse %d", id) }
-func (r *recorder) Fail(id RequestID)                    { r.say("fail %d", id) }
-func (r *recorder) CloseIdle(server string)              {}
-func (r *recorder) Probe(server string)                  { r.say("probe %s", server) }
-func (r *recorder) Subscribe()                           { r.say("subscribe") }
+func (r *recorder) Cancel(id RequestID, n int) { r.say("cancel %d/%d", id, n) }
+func (r *recorder) Refuse(id RequestID, after time.Duration) {
+	r.after = append(r.after, after)
+	r.say("refuse %d", id)
+}
+func (r *recorder) Fail(id RequestID)       { r.say("fail %d", id) }
+func (r *recorder) CloseIdle(server string) {}
+func (r *recorder) Probe(server string)     { r.say("probe %s", server) }
+func (r *recorder) Subscribe()              { r.say("subscribe") }
 func (r *recorder) SetTimer(c uint64, after time.Duration) {
 	r.timers = append(r.timers, c)
 	r.delays = append(r.delays, after)
@@ -315,3 +320,62 @@
 		t.Error("a bad configuration is taken, or half of it")
 	}
 }
+
+// What of a request goes by the configuration that it came under, after another has been
+// adopted: each is other in the two.
+func TestRulesOfTheRequest(t *testing.T) {
+	var servers []Endpoint
+	for n := range 6 {
+		servers = append(servers, Endpoint{Name: fmt.Sprint("s", n), Hint: 1})
+	}
+	old, now := testConfig(), testConfig()
+	old.MaxRetryAfter, now.MaxRetryAfter = time.Second, time.Hour
+	old.MayCancel, now.MayCancel = true, false
+	old.WarmKeys, now.WarmKeys = true, false
+	old.Classes[1].Effect, old.Classes[1].Scope, old.Classes[1].Window = Keyed, ScopeAll, time.Second
+	now.Classes = slices.Clone(now.Classes)
+	now.Classes[1].Effect = Unsafe
+	now.WasteCost = 1
+	b, r := newTest(t, old, servers...)
+	if err := b.Adopt(now); err != nil {
+		t.Fatal(err)
+	}
+	if want := newReissuer(now.WasteCost).budget; b.reissue.budget != want {
+		t.Errorf("the budget of copies is %v, want %v", b.reissue.budget, want)
+	}
+	both := func(r Request, do func(id RequestID)) {
+		for n, under := range []*Config{&old, &now} {
+			r.ID, r.Under, r.Tenant, r.Deadline = RequestID(10*r.Class+n+1), under, -1, time.Minute
+			b.Arrive(0, r)
+			do(r.ID)
+		}
+	}
+	// A keyed one that may have run goes on; one that must run once does not.
+	both(Request{Class: 1}, func(id RequestID) { b.Done(ms, id, 0, Reset, false, Report{}) })
+	if got := fmt.Sprint(r.got); !strings.Contains(got, "send 11 send 11 send 12 fail 12") {
+		t.Error(got)
+	}
+	// Refusals say when to come back, and losers are cancelled, where each says so.
+	r.got, b.reissue.q, b.reissue.d, b.reissue.tokens = nil, 1, 0, hedgeTokensMax
+	both(Request{Class: 0}, func(id RequestID) {
+		b.Timer(ms, r.timers[len(r.timers)-1])
+		b.Done(2*ms, id, 0, OK, true, Report{})
+	})
+	if got := fmt.Sprint(r.got); !strings.Contains(got, "cancel 1/1") || strings.Contains(got, "cancel 2") || strings.Count(got, "send") != 4 {
+		t.Error(got)
+	}
+	r.after = nil
+	both(Request{Class: 2, Attempts: 1}, func(id RequestID) { b.Done(3*ms, id, 0, Full, false, Report{}) })
+	if len(r.after) != 2 || r.after[0] > time.Second || r.after[1] < time.Minute {
+		t.Errorf("to come back after %v", r.after)
+	}
+	// Keys draw to their server only where they are warm.
+	r.servers = nil
+	for n := range 30 {
+		b.Arrive(10*ms, Request{ID: RequestID(100 + n), Class: 2, Key: "k", Tenant: -1, Deadline: time.Minute, Under: &old})
+		b.Done(10*ms, RequestID(100+n), 0, OK, true, Report{})
+	}
+	if all := slices.Compact(slices.Sorted(slices.Values(r.servers))); len(all) > 2 {
+		t.Errorf("one key went to %v", all)
+	}
+}
--- a/internal/daemon/change.go
+++ b/internal/daemon/change.go
@@ -192,9 +192,6 @@
 	if g.owed != nil {
 		return nil, fmt.Errorf("the memory of changes can't be written, so the last verdict is not in it: %s", g.problem)
 	}
-	if g.next != nil || g.c.trial {
-		return nil, fmt.Errorf("%w: %d", history.ErrBaking, g.c.store.State().Baking)
-	}
 	out.ID, err = g.try(next, why)
 	return out, err
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -181,7 +181,7 @@
 }
 
 func (a *Attempt) connect(addr string) (*conn, error) {
-	d := net.Dialer{Timeout: a.pool.dialTimeout(), KeepAlive: -1}
+	d := net.Dialer{Timeout: a.pool.Times().DialTimeout, KeepAlive: -1}
 	nc, err := d.Dial("tcp", addr)
 	if err != nil {
 		a.pool.unbook()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -106,10 +106,11 @@
 	p.idleMost = min(p.idleMost, p.idleCap())
 }
 
-func (p *Pool) dialTimeout() time.Duration {
+// Times are those that the Pool goes by now.
+func (p *Pool) Times() Times {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cfg.DialTimeout
+	return Times{p.cfg.ConnIdle, p.cfg.DialTimeout, p.cfg.DrainGrace}
 }
 
 // broke takes a connection that broke as soon as a request was written.
