Tests of what pools have of their own, and of times that are adopted

Cause: nothing noticed when a pool's attempts, connections, slow start or its part in a stop were taken out, nor when shorter idle times did not hold at once. Change: tests for each.

--- /dev/null
+++ b/internal/daemon/pools_test.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chalkrack/internal/core"
+	"chalkrack/internal/duration"
+	"chalkrack/internal/features"
+	"chalkrack/internal/message"
+)
+
+// What a pool has of its own stands in place of the platform's, and the rest is as there.
+func TestPoolSettings(t *testing.T) {
+	p := newPair(t)
+	p.write(t, 5, "")
+	c := p.load(t)
+	c.settings.Config.AskWithin, c.settings.Config.ColdFor = time.Minute, time.Hour
+	fixed := poolSettings(c, &features.Pool{Servers: []features.PoolServer{{}}, Attempts: 2, MaxHeld: 7, SlowStart: duration.Duration(time.Second), Cold: 0.25})
+	if k := fixed.Config; fixed.MostHeld != 7 || k.MaxAttempts != 2 || k.AskWithin != 0 || k.ColdFor != time.Second || k.ColdFrom != 0.25 || !(k.OverloadFactor > 0) {
+		t.Errorf("%+v", fixed)
+	}
+	followed := poolSettings(c, &features.Pool{Discovery: "x", MaxHeld: 9})
+	if k := followed.Config; followed.MostHeld != 9 || k.MaxAttempts != 5 || k.AskWithin != 0 || k.ColdFor != time.Hour || followed.DrainGrace != c.settings.DrainGrace {
+		t.Errorf("%+v", followed)
+	}
+	if c.settings.Config.AskWithin != time.Minute || c.settings.Config.MaxAttempts != 5 {
+		t.Error("the platform's own changed")
+	}
+}
+
+// ended is a caller that only tells that it was answered.
+type ended struct {
+	core.Caller
+	how chan string
+}
+
+func (e ended) Refuse(time.Duration, bool) { e.how <- "refused" }
+func (e ended) Fail()                      { e.how <- "failed" }
+func (e ended) Release()                   {}
+
+// A pool opens no more connections than it may, and at SIGTERM what it holds is answered
+// by the time that all is.
+func TestPoolBounds(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	var opened atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			opened.Add(1) // and says nothing
+		}
+	}()
+	p := newPair(t)
+	p.write(t, 5, fmt.Sprintf("[[pools]]\nname = \"p\"\nmax_connections = 2\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
+	r, err := newRouting(p.load(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.close()
+	how := make(chan string, 10)
+	for n := range 5 {
+		r.pools["p"].host.Arrive(&core.Call{ID: fmt.Sprint(n), Class: "activate", Wait: time.Hour, Received: time.Now(), Caller: ended{how: how},
+			Payload: &message.Request{Method: "POST", Head: []byte("POST /activate HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n")}})
+	}
+	for end := time.Now().Add(20 * time.Second); (opened.Load() < 2 || len(how) < 3) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if n := opened.Load(); n != 2 || len(how) != 3 {
+		t.Errorf("%d connections, %d of 5 calls ended at once", n, len(how))
+	}
+	r.quitAt(10 * time.Millisecond)
+	for n := range 5 {
+		select {
+		case <-how:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%d of 5 answered", n)
+		}
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -669,3 +669,15 @@
 		}
 	}
 }
+
+// Shorter times hold for connections that idle already; longer ones are learned again.
+func TestAdopt(t *testing.T) {
+	p := New(Config{ConnIdle: 10 * time.Second, DialTimeout: time.Second, DrainGrace: time.Second})
+	p.Adopt(Times{ConnIdle: time.Second, DialTimeout: 2 * time.Second, DrainGrace: time.Minute})
+	if got := p.Times(); got != (Times{time.Second, 2 * time.Second, time.Minute}) || p.idleMost != 600*time.Millisecond {
+		t.Errorf("%+v, idle for %v", got, p.idleMost)
+	}
+	if p.Adopt(Times{ConnIdle: 10 * time.Second}); p.idleMost != 600*time.Millisecond {
+		t.Errorf("idle for %v at once", p.idleMost)
+	}
+}
