Further listeners with routes of their own; imports hold what they make, not only say

Need: an installation with several listeners could carry only its first; nothing noticed when imported rules lost their order, a dangerous check was kept, or two conditions on one part of a request became one. Change: [[listeners]], named in routes; HAProxy's further frontends become some; golden reports have the features file behind them, whose fields say nothing where they are empty; a server whose check was dangerous is said not to be checked; a guard of /_health that nothing needed is gone. Measured: twenty-one samples against stand-ins; the three handlings noticed.

--- a/cmd/fawnctl/import.go
+++ b/cmd/fawnctl/import.go
@@ -89,10 +89,11 @@
 	cfg := haproxy.Read(files, haproxy.Options{Env: os.LookupEnv, Version: c.Version, Directive: knownDirective})
 	r := translate.Translate(cfg, translate.Options{Classes: c.Classes, SafeClass: c.Safe, OtherClass: c.Other})
 	own := struct {
-		Version int              `toml:"version"`
-		Pools   []features.Pool  `toml:"pools"`
-		Routes  []features.Route `toml:"routes"`
-	}{features.Version, r.Pools, r.Routes}
+		Version   int                 `toml:"version"`
+		Listeners []features.Listener `toml:"listeners,omitempty"`
+		Pools     []features.Pool     `toml:"pools,omitempty"`
+		Routes    []features.Route    `toml:"routes,omitempty"`
+	}{features.Version, r.Listeners, r.Pools, r.Routes}
 	text, err := toml.Marshal(own)
 	if err != nil {
 		return err
--- a/cmd/fawnctl/import_test.go
+++ b/cmd/fawnctl/import_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -23,6 +24,7 @@
 	status                    int
 	servers                   string // any of them
 	attempts                  int    // 0: any number
+	by                        string // E: the further listener; empty: the platform's
 }
 
 // samples are configurations in the shapes of real ones. A to D stand for the addresses
@@ -53,7 +55,7 @@
 	balance roundrobin
 	server a A check
 	server b B check weight 10
-`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "a b", 0}, {"x", "POST", "/buy", "", 200, "a b", 0}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "a b", 0, ""}, {"x", "POST", "/buy", "", 200, "a b", 0, ""}},
 		says: []string{"not carried|maxconn 2000", "carried with a difference|retries 2", "carried|option redispatch", "carried|server a A check"}},
 	{name: "api gateway, order of rules", text: `
 frontend api
@@ -66,6 +68,8 @@
 	acl beta req.hdr(x-beta) -m found
 	use_backend one if admin inside
 	http-request deny if admin
+	use_backend one if { path /v1/late }
+	http-request deny if { path /v1/late }
 	use_backend two if v1 write || beta
 	use_backend one if v1
 	use_backend three if { hdr(host) -i shop.example } !beta
@@ -79,8 +83,8 @@
 	mode http
 	server c C
 `, exit: 1, asks: []askedOf{
-		{"x", "GET", "/V1/Admin/x", "", 403, "", 0}, {"x", "GET", "/v1/a", "", 200, "a", 0}, {"x", "POST", "/v1/a", "", 200, "b", 0},
-		{"x", "GET", "/other", "X-Beta: 1", 200, "b", 0}, {"shop.example", "GET", "/other", "", 200, "c", 0}, {"shop.example:80", "GET", "/v1/a", "", 200, "a", 0},
+		{"x", "GET", "/V1/Admin/x", "", 403, "", 0, ""}, {"x", "GET", "/v1/a", "", 200, "a", 0, ""}, {"x", "GET", "/v1/late", "", 403, "", 0, ""}, {"x", "POST", "/v1/a", "", 200, "b", 0, ""},
+		{"x", "GET", "/other", "X-Beta: 1", 200, "b", 0, ""}, {"shop.example", "GET", "/other", "", 200, "c", 0, ""}, {"shop.example:80", "GET", "/v1/a", "", 200, "a", 0, ""},
 	}, says: []string{"carried|http-request deny if admin", "carried|use_backend two if v1 write || beta"}},
 	{name: "redirects, answers, a backup", text: `
 listen all
@@ -92,7 +96,7 @@
 	http-request deny deny_status 405 if { method TRACE }
 	server a A check inter 2s fall 1
 	server b B check backup
-`, exit: 1, asks: []askedOf{{"x", "GET", "/old", "", 301, "", 0}, {"x", "GET", "/a.probe", "", 200, "", 0}, {"x", "TRACE", "/", "", 405, "", 0}, {"x", "GET", "/", "", 200, "a", 0}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/old", "", 301, "", 0, ""}, {"x", "GET", "/a.probe", "", 200, "", 0, ""}, {"x", "TRACE", "/", "", 405, "", 0, ""}, {"x", "GET", "/", "", 200, "a", 0, ""}},
 		says: []string{"carried with a difference|option httpchk GET /ping", "carried|server b B check backup"}},
 	{name: "what would repeat, inherited", text: `
 defaults base
@@ -107,7 +111,7 @@
 backend b from web
 	http-check send meth PUT uri /touch
 	server a A check
-`, exit: 2, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0}},
+`, exit: 2, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0, ""}},
 		says: []string{"dangerous|retry-on all-retryable-errors", "dangerous|option httpchk POST", "dangerous|http-check send meth PUT"}},
 	{name: "TCP, TLS, tables, unknown sections", text: `
 peers mine
@@ -130,7 +134,7 @@
 	default_backend web
 frontend second
 	mode http
-	bind :81
+	bind :81 ssl crt /etc/x.pem
 	default_backend web
 backend db
 	server d D
@@ -141,7 +145,7 @@
 	server a A ssl verify none
 	server b db.example.com:80
 	server c C cookie c
-`, exit: 3, asks: []askedOf{{"x", "GET", "/", "", 200, "c", 0}},
+`, exit: 3, asks: []askedOf{{"x", "GET", "/", "", 200, "c", 0, ""}},
 		says: []string{"not carried|peer p1", "not carried|what 1", "not carried|use_backend %[", "not carried|use_backend nowhere", "not carried|unless", "not carried|surprise me",
 			"not carried|server a A ssl", "not carried|server b db", "carried with a difference|server c C cookie", "not carried|frontend second", "not carried|frontend db", "not carried|cookie SRV"}},
 	{name: "blocks", text: `
@@ -161,7 +165,7 @@
 backend two
 	mode http
 	server b B
-`, exit: 2, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0}}, says: []string{"dangerous|http-request deny", "not carried|default_backend two"}},
+`, exit: 2, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0, ""}}, says: []string{"dangerous|http-request deny", "not carried|default_backend two"}},
 	{name: "blue and green", text: `
 defaults
 	mode http
@@ -174,7 +178,7 @@
 	server a A
 backend green
 	server b B
-`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0}, {"x", "GET", "/", "X-Env: green", 200, "b", 0}, {"green.example", "POST", "/", "", 200, "b", 0}, {"x", "GET", "/", "X-Env: greener", 200, "a", 0}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0, ""}, {"x", "GET", "/", "X-Env: green", 200, "b", 0, ""}, {"green.example", "POST", "/", "", 200, "b", 0, ""}, {"x", "GET", "/", "X-Env: greener", 200, "a", 0, ""}},
 		says: []string{"carried|default-server check", "carried|default_backend blue"}},
 	{name: "a page for maintenance", text: `
 frontend f
@@ -184,7 +188,7 @@
 backend one
 	mode http
 	server a A
-`, exit: 1, asks: []askedOf{{"x", "GET", "/shop/x", "", 503, "", 0}, {"x", "GET", "/shopping", "", 503, "", 0}, {"x", "GET", "/", "", 200, "a", 0}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/shop/x", "", 503, "", 0, ""}, {"x", "GET", "/shopping", "", 503, "", 0, ""}, {"x", "GET", "/", "", 200, "a", 0, ""}},
 		says: []string{"carried with a difference|http-request return"}},
 	{name: "several files", text: `
 defaults common
@@ -199,13 +203,14 @@
 	server a A
 backend two from common
 	server b B
-`, exit: 1, asks: []askedOf{{"x", "GET", "/two", "", 200, "b", 0}, {"x", "GET", "/two/x", "", 200, "a", 0}}, says: []string{"carried with a difference|retries 1", "carried|backend two from common"}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/two", "", 200, "b", 0, ""}, {"x", "GET", "/two/x", "", 200, "a", 0, ""}}, says: []string{"carried with a difference|retries 1", "carried|backend two from common"}},
 	{name: "many services, the first rule that holds", text: `
 frontend f
 	mode http
 	acl is_orders path_beg /orders
 	acl is_admin path_sub /admin
 	acl is_orders path_beg /basket
+	use_backend d if is_orders is_admin
 	use_backend b if is_admin
 	use_backend a if is_orders
 	use_backend c if { path_reg ^/v[0-9]+/ } or { path_dir status }
@@ -223,9 +228,9 @@
 	mode http
 	server d D
 `, exit: 1, asks: []askedOf{
-		{"x", "GET", "/orders/admin", "", 200, "b", 0}, {"x", "GET", "/basket", "", 200, "a", 0}, {"x", "GET", "/v12/x", "", 200, "c", 0},
-		{"x", "GET", "/a/status/b", "", 200, "c", 0}, {"x", "GET", "/vx", "", 200, "d", 0}, {"x", "GET", "/status-check", "X-Key: 1", 200, "s1", 0},
-	}, says: []string{"carried|use_backend c if", "carried|use_backend d if !{"}},
+		{"x", "GET", "/orders/admin", "", 200, "b", 0, ""}, {"x", "GET", "/basket", "", 200, "a", 0, ""}, {"x", "GET", "/v12/x", "", 200, "c", 0, ""},
+		{"x", "GET", "/a/status/b", "", 200, "c", 0, ""}, {"x", "GET", "/vx", "", 200, "d", 0, ""}, {"x", "GET", "/status-check", "X-Key: 1", 200, "s1", 0, ""},
+	}, says: []string{"not carried|use_backend d if is_orders is_admin", "carried|use_backend c if", "carried|use_backend d if !{"}},
 	{name: "variables and quotes", text: `
 frontend f
 	mode http
@@ -238,7 +243,7 @@
 backend other
 	mode http
 	server b B weight 10 # twice as much as nothing
-`, exit: 1, asks: []askedOf{{"x", "GET", "/a%20b", "", 200, "a", 0}, {"x", "GET", "/", "", 200, "b", 0}}, says: []string{"carried|use_backend \"$FAWN_TEST_POOL\""}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/a%20b", "", 200, "a", 0, ""}, {"x", "GET", "/", "", 200, "b", 0, ""}}, says: []string{"carried|use_backend \"$FAWN_TEST_POOL\""}},
 	{name: "static files by their ends", text: `
 frontend f
 	mode http
@@ -252,7 +257,7 @@
 backend app
 	mode http
 	server b B
-`, exit: 1, asks: []askedOf{{"x", "GET", "/x.PNG", "", 200, "a", 0}, {"x", "POST", "/x.png", "", 200, "b", 0}, {"x", "GET", "/x.png/y", "", 200, "b", 0}}, says: []string{"carried|use_backend files if static get"}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/x.PNG", "", 200, "a", 0, ""}, {"x", "POST", "/x.png", "", 200, "b", 0, ""}, {"x", "GET", "/x.png/y", "", 200, "b", 0, ""}}, says: []string{"carried|use_backend files if static get"}},
 	{name: "names that are wrong", text: `
 defaults a from b
 	mode http
@@ -270,7 +275,7 @@
 	server b B
 backend lonely from nowhere
 	server c C
-`, exit: 3, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0}}, says: []string{"not carried|frontend f"}},
+`, exit: 3, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0, ""}}, says: []string{"not carried|frontend f"}},
 	{name: "a server that is down", text: `
 defaults
 	mode http
@@ -280,7 +285,7 @@
 listen all
 	server a A
 	server b B
-`, exit: 1, down: "a", asks: []askedOf{{"x", "GET", "/", "", 200, "b", 1}, {"x", "POST", "/", "", 200, "b", 1}, {"x", "POST", "/", "", 200, "b", 1}, {"x", "POST", "/", "", 200, "b", 1}},
+`, exit: 1, down: "a", asks: []askedOf{{"x", "GET", "/", "", 200, "b", 1, ""}, {"x", "POST", "/", "", 200, "b", 1, ""}, {"x", "POST", "/", "", 200, "b", 1, ""}, {"x", "POST", "/", "", 200, "b", 1, ""}},
 		says: []string{"carried|retry-on conn-failure", "carried with a difference|retries 3"}},
 	{name: "what may have run", text: `
 listen all
@@ -289,7 +294,7 @@
 	server a A
 	server b B
 `, exit: 1, does: map[string]standin.Kind{"a": standin.ResetLate, "b": standin.ResetLate},
-		asks: []askedOf{{"x", "POST", "/", "", 502, "a b", 1}, {"x", "GET", "/", "", 503, "a b", 2}}, says: []string{"carried with a difference|retries 1"}},
+		asks: []askedOf{{"x", "POST", "/", "", 502, "a b", 1, ""}, {"x", "GET", "/", "", 503, "a b", 2, ""}}, says: []string{"carried with a difference|retries 1"}},
 	{name: "sticky sessions", text: `
 frontend f
 	mode http
@@ -300,7 +305,7 @@
 	stick-table type ip size 200k expire 30m
 	stick on src
 	server a A cookie a check
-`, exit: 1, asks: []askedOf{{"x", "GET", "/", "Cookie: SRV=b", 200, "a", 1}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/", "Cookie: SRV=b", 200, "a", 1, ""}},
 		says: []string{"not carried|cookie SRV", "not carried|stick-table", "not carried|stick on", "carried with a difference|server a"}},
 	{name: "a database alone", text: `
 listen db
@@ -309,7 +314,7 @@
 	option tcp-check
 	server d D check
 	server c C check backup
-`, exit: 1, asks: []askedOf{{"x", "GET", "/status-check", "", 200, "s1", 1}}, says: []string{"not carried|server d", "not carried|listen db"}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/status-check", "", 200, "s1", 1, ""}}, says: []string{"not carried|server d", "not carried|listen db"}},
 	{name: "a check with a host", text: `
 listen all
 	mode http
@@ -317,7 +322,7 @@
 	http-check send meth GET uri /ping hdr Host www
 	http-check expect status 200
 	server a A check inter 2s rise 1 fall 2
-`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 1}}, says: []string{"carried with a difference|http-check send", "carried with a difference|http-check expect"}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 1, ""}}, says: []string{"carried with a difference|http-check send", "carried with a difference|http-check expect"}},
 	{name: "servers that are left out", text: `
 listen all
 	mode http
@@ -326,8 +331,30 @@
 	server b B weight 256 maxconn 10 slowstart 2s
 	server c C disabled
 	server d D mystery
-`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "b", 1}, {"x", "POST", "/", "", 200, "b", 1}},
+`, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "b", 1, ""}, {"x", "POST", "/", "", 200, "b", 1, ""}},
 		says: []string{"not carried|server a", "carried with a difference|server b", "not carried|server c", "not carried|server d", "not carried|fullconn"}},
+	{name: "two frontends", text: `
+defaults
+	mode http
+frontend www
+	bind :80
+	use_backend one if { path /one }
+	default_backend two
+frontend inner
+	bind E
+	bind 127.0.0.1:82
+	http-request deny if { path /one }
+	default_backend three
+backend one
+	server a A
+backend two
+	server b B
+backend three
+	server c C
+`, exit: 1, asks: []askedOf{
+		{"x", "GET", "/one", "", 200, "a", 1, ""}, {"x", "GET", "/two", "", 200, "b", 1, ""},
+		{"x", "GET", "/one", "", 403, "", 0, "E"}, {"x", "GET", "/two", "", 200, "c", 1, "E"},
+	}, says: []string{"carried|frontend inner", "carried with a difference|bind E", "not carried|bind 127.0.0.1:82"}},
 	{name: "what keeps requests out", text: `
 frontend f
 	mode http
@@ -343,7 +370,7 @@
 	http-request deny if { path /x }
 	http-request tarpit if { path /y }
 	server a A
-`, exit: 2, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0}, {"x", "HEAD", "/slow", "", 429, "", 0}},
+`, exit: 2, asks: []askedOf{{"x", "GET", "/", "", 200, "a", 0, ""}, {"x", "HEAD", "/slow", "", 429, "", 0, ""}},
 		says: []string{"dangerous|http-request deny if !inside", "dangerous|http-request auth", "carried|deny_status 429", "dangerous|tcp-request connection reject",
 			"not carried|inspect-delay", "dangerous|http-request deny if { path /x }", "dangerous|http-request tarpit"}},
 }
@@ -374,6 +401,13 @@
 				names = append(names, s.Addr(), strings.ToUpper(name))
 			}
 			dir := t.TempDir()
+			ln, err := net.Listen("tcp", "127.0.0.3:0") // free, and taken by nobody who goes out
+			if err != nil {
+				t.Fatal(err)
+			}
+			ln.Close()
+			text = strings.ReplaceAll(text, " E\n", " "+ln.Addr().String()+"\n")
+			names = append(names, ln.Addr().String(), "E")
 			t.Setenv("FAWN_TEST_POOL", "shop")
 			for n, part := range strings.Split(text, "---\n") {
 				if err := os.WriteFile(filepath.Join(dir, fmt.Sprint(n, ".cfg")), []byte(part), 0o600); err != nil {
@@ -406,7 +440,7 @@
 			}
 			for _, s := range c.says {
 				verdict, part, _ := strings.Cut(s, "|")
-				for _, name := range []string{" A", " B", " C"} { // addresses are the system's
+				for _, name := range []string{" A", " B", " C", " E"} { // addresses are the system's
 					part, _, _ = strings.Cut(part, name)
 				}
 				if !slices.ContainsFunc(rep.Directives, func(d struct{ At, Directive, Verdict, Why string }) bool {
@@ -419,11 +453,11 @@
 			for _, d := range rep.Directives {
 				fmt.Fprintf(&report, "%s\t%s\t%s\t%s\n", filepath.Base(d.At), d.Verdict, d.Directive, d.Why)
 			}
-			golden(t, c.name, strings.NewReplacer(names...).Replace(report.String()))
 			own, err := os.ReadFile(filepath.Join(dir, "features.toml"))
 			if err != nil {
 				t.Fatal(err)
 			}
+			golden(t, c.name, strings.NewReplacer(names...).Replace(report.String()+"\n"+string(own)))
 			d, err := site.StartDaemon(1, string(own))
 			if err != nil {
 				t.Fatalf("%v\n%s", err, own)
@@ -431,7 +465,11 @@
 			defer d.Stop()
 			for n, a := range c.asks {
 				id := fmt.Sprint("q", n)
-				r, err := http.NewRequestWithContext(t.Context(), a.method, "http://"+d.Addr+a.path, nil)
+				to := d.Addr
+				if a.by != "" {
+					to = ln.Addr().String()
+				}
+				r, err := http.NewRequestWithContext(t.Context(), a.method, "http://"+to+a.path, nil)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/change/document.go
+++ b/internal/change/document.go
@@ -110,7 +110,7 @@
 	switch v.Kind() {
 	case reflect.Struct:
 		for n := range v.NumField() {
-			if name := v.Type().Field(n).Tag.Get("toml"); name != "" {
+			if name, _, _ := strings.Cut(v.Type().Field(n).Tag.Get("toml"), ","); name != "" {
 				f.toml(path+"."+name, v.Field(n))
 			}
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 		all := pages(c, host, srv, pool, store)
 		if routes != nil {
 			all["pools"] = func() any { return routes.status() }
+			all["listeners"] = func() any { return routes.addresses() }
 		}
 		deeds := changes.pages(all)
 		operators, err := admin.Listen(path, all, deeds)
@@ -123,6 +124,7 @@
 		defer operators.Close()
 	}
 	go srv.Serve(ln)
+	routes.serve(srv)
 
 	if !c.asks {
 		listed := make(chan struct{}, 1)
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -188,18 +188,20 @@
 	table *route.Table
 	pools map[string]*serverPool
 	all   []*serverPool
+
+	listeners map[string]net.Listener
 }
 
 // newRouting makes the pools and the table. Errors name the pool or route.
 func newRouting(c *Config) (*routing, error) {
 	f := c.Features
-	if len(f.Routes) == 0 && len(f.Pools) == 0 {
+	if len(f.Routes)+len(f.Pools)+len(f.Listeners) == 0 {
 		return nil, nil
 	}
-	r := &routing{pools: make(map[string]*serverPool)}
+	r := &routing{pools: make(map[string]*serverPool), listeners: make(map[string]net.Listener)}
 	var routes []route.Route
 	for _, e := range f.Routes {
-		m := route.Match{Hosts: e.Hosts, Paths: e.Paths, Prefixes: e.Prefixes, Regexps: e.Regexps, Methods: e.Methods}
+		m := route.Match{Listeners: e.Listeners, Hosts: e.Hosts, Paths: e.Paths, Prefixes: e.Prefixes, Regexps: e.Regexps, Methods: e.Methods}
 		for _, h := range e.Headers {
 			m.Headers = append(m.Headers, route.Header{Name: http.CanonicalHeaderKey(h.Name), Value: h.Value, Not: h.Not})
 		}
@@ -232,15 +234,35 @@
 		r.pools[p.name] = p
 		r.all = append(r.all, p)
 	}
+	for _, l := range f.Listeners {
+		ln, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			r.close()
+			return nil, fmt.Errorf("features: listeners: %q: %w", l.Name, err)
+		}
+		r.listeners[l.Name] = ln
+	}
 	return r, nil
 }
 
+// serve accepts clients on the further listeners.
+func (r *routing) serve(srv *front.Server) {
+	if r != nil {
+		for name, ln := range r.listeners {
+			go srv.ServeAs(name, ln)
+		}
+	}
+}
+
 // platformPool stands for the platform's own servers; no pool can have the name.
 const platformPool = "\x00"
 
 // choose implements front.Config.Choose. What no route takes goes the platform's way.
-func (r *routing) choose(q *http.Request, from netip.Addr) front.Choice {
-	e := r.table.Find(&route.Request{Host: q.Host, Path: q.URL.Path, Method: q.Method, Source: from, Header: func(name string) []string { return q.Header[name] }})
+func (r *routing) choose(q *http.Request, listener string, from netip.Addr) front.Choice {
+	if listener == "" {
+		listener = features.PlatformListener
+	}
+	e := r.table.Find(&route.Request{Host: q.Host, Path: q.URL.Path, Method: q.Method, Source: from, Listener: listener, Header: func(name string) []string { return q.Header[name] }})
 	if e == nil {
 		return front.Choice{}
 	}
@@ -255,7 +277,7 @@
 }
 
 // chooser is what a front is told; nil where there are no routes.
-func (r *routing) chooser() func(*http.Request, netip.Addr) front.Choice {
+func (r *routing) chooser() func(*http.Request, string, netip.Addr) front.Choice {
 	if r == nil {
 		return nil
 	}
@@ -264,6 +286,9 @@
 
 func (r *routing) close() {
 	if r != nil {
+		for _, ln := range r.listeners {
+			ln.Close()
+		}
 		for _, p := range r.all {
 			p.close()
 		}
@@ -294,6 +319,15 @@
 	}
 }
 
+// addresses are where the further listeners are.
+func (r *routing) addresses() map[string]string {
+	all := make(map[string]string)
+	for name, ln := range r.listeners {
+		all[name] = ln.Addr().String()
+	}
+	return all
+}
+
 func (r *routing) status() []PoolStatus {
 	all := []PoolStatus{}
 	for _, p := range r.all {
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -34,6 +34,8 @@
 	Admin Admin `toml:"admin"`
 	// Config takes changes of the configuration while the daemon runs.
 	Config Config `toml:"config"`
+	// Listeners are further addresses for clients.
+	Listeners []Listener `toml:"listeners"`
 	// Pools are further servers, Routes say which requests go to which of them.
 	Pools  []Pool  `toml:"pools"`
 	Routes []Route `toml:"routes"`
--- a/internal/features/routes.go
+++ b/internal/features/routes.go
@@ -13,68 +13,79 @@
 type Pool struct {
 	Name string `toml:"name"`
 	// Servers are a fixed list; Discovery is followed in its place.
-	Servers   []PoolServer `toml:"servers"`
-	Discovery string       `toml:"discovery"`
-	Checks    PoolChecks   `toml:"checks"` // of a fixed list
+	Servers   []PoolServer `toml:"servers,omitempty"`
+	Discovery string       `toml:"discovery,omitempty"`
+	Checks    PoolChecks   `toml:"checks,omitempty"` // of a fixed list
 	// SlowStart is how long a server that came up is warming; it begins with Cold of its
 	// share.
-	SlowStart duration.Duration `toml:"slow_start"`
-	Cold      float64           `toml:"cold"`
+	SlowStart duration.Duration `toml:"slow_start,omitempty"`
+	Cold      float64           `toml:"cold,omitempty"`
 	// MaxConnections are to its servers at once, MaxHeld its calls: more are refused.
-	MaxConnections int `toml:"max_connections"`
-	MaxHeld        int `toml:"max_held"`
+	MaxConnections int `toml:"max_connections,omitempty"`
+	MaxHeld        int `toml:"max_held,omitempty"`
 	// Attempts are those of one call at most; 0: as the platform has it.
-	Attempts int `toml:"attempts"`
+	Attempts int `toml:"attempts,omitempty"`
 }
 
 // PoolServer is one of a pool's servers.
 type PoolServer struct {
 	Name    string  `toml:"name"`
 	Address string  `toml:"address"`
-	Zone    string  `toml:"zone"`
-	Weight  float64 `toml:"weight"`
-	Backup  bool    `toml:"backup"`
+	Zone    string  `toml:"zone,omitempty"`
+	Weight  float64 `toml:"weight,omitempty"`
+	Backup  bool    `toml:"backup,omitempty"`
 }
 
 // PoolChecks are active checks: GET of a path that must be answered with 2xx or 3xx; with
 // no path a connection that comes up.
 type PoolChecks struct {
-	Every   duration.Duration `toml:"every"` // 0: none
-	Timeout duration.Duration `toml:"timeout"`
-	Path    string            `toml:"path"`
-	Rise    int               `toml:"rise"`
-	Fall    int               `toml:"fall"`
+	Every   duration.Duration `toml:"every,omitempty"` // 0: none
+	Timeout duration.Duration `toml:"timeout,omitempty"`
+	Path    string            `toml:"path,omitempty"`
+	Rise    int               `toml:"rise,omitempty"`
+	Fall    int               `toml:"fall,omitempty"`
+}
+
+// PlatformListener is the name that routes call the platform's own listener by.
+const PlatformListener = "platform"
+
+// Listener is one of [[listeners]]: a further address at which clients may connect.
+type Listener struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
 }
 
 // Route is one of [[routes]], which are tried in their order. Package route says what the
 // fields mean.
 type Route struct {
-	Name     string        `toml:"name"`
-	Hosts    []string      `toml:"hosts"`
-	Paths    []string      `toml:"paths"`
-	Prefixes []string      `toml:"prefixes"`
-	Regexps  []string      `toml:"regexps"`
-	Methods  []string      `toml:"methods"`
-	Headers  []RouteHeader `toml:"headers"`
-	Sources  []string      `toml:"sources"`
+	Name      string        `toml:"name"`
+	Listeners []string      `toml:"listeners,omitempty"` // empty: all, the platform's among them
+	Hosts     []string      `toml:"hosts,omitempty"`
+	Paths     []string      `toml:"paths,omitempty"`
+	Prefixes  []string      `toml:"prefixes,omitempty"`
+	Regexps   []string      `toml:"regexps,omitempty"`
+	Methods   []string      `toml:"methods,omitempty"`
+	Headers   []RouteHeader `toml:"headers,omitempty"`
+	Sources   []string      `toml:"sources,omitempty"`
 
-	Pool     string `toml:"pool"` // empty, with no status: the platform's
-	Class    string `toml:"class"`
-	Rewrite  string `toml:"rewrite"`
-	Status   int    `toml:"status"`
-	Location string `toml:"location"`
-	Body     string `toml:"body"`
+	Pool     string `toml:"pool,omitempty"` // empty, with no status: the platform's
+	Class    string `toml:"class,omitempty"`
+	Rewrite  string `toml:"rewrite,omitempty"`
+	Status   int    `toml:"status,omitempty"`
+	Location string `toml:"location,omitempty"`
+	Body     string `toml:"body,omitempty"`
 }
 
 // RouteHeader is a field that a route asks for.
 type RouteHeader struct {
 	Name  string `toml:"name"`
-	Value string `toml:"value"`
-	Not   bool   `toml:"not"`
+	Value string `toml:"value,omitempty"`
+	Not   bool   `toml:"not,omitempty"`
 }
 
 const (
 	poolsMost     = 64
+	listenersMost = 16
 	poolConnsLeft = 1 << 16
 )
 
@@ -140,9 +151,21 @@
 		c.need(p.MaxHeld >= 1 && p.MaxHeld <= poolConnsLeft, at+"max_held", "must be within 1 and %d", poolConnsLeft)
 		c.need(p.Attempts >= 0 && p.Attempts <= 20, at+"attempts", "must be within 0 and 20")
 	}
+	listeners := map[string]bool{PlatformListener: true}
+	c.need(len(f.Listeners) <= listenersMost, "listeners", "%d at most", listenersMost)
+	for n, l := range f.Listeners {
+		at := fmt.Sprintf("listeners[%d].", n)
+		c.need(l.Name != "" && !listeners[l.Name], at+"name", "must be set and the only one of its kind")
+		listeners[l.Name] = true
+		_, _, err := net.SplitHostPort(l.Address)
+		c.need(err == nil, at+"address", "%q is no address with a port", l.Address)
+	}
 	for n := range f.Routes {
 		r, at := &f.Routes[n], fmt.Sprintf("routes[%d].", n)
 		c.need(r.Pool == "" || pools[r.Pool], at+"pool", "there is no pool %q", r.Pool)
+		for _, l := range r.Listeners {
+			c.need(listeners[l], at+"listeners", "there is no listener %q", l)
+		}
 		for _, s := range r.Sources {
 			_, err := netip.ParsePrefix(s)
 			c.need(err == nil, at+"sources", "%q is no range of addresses", s)
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -38,8 +38,8 @@
 	x.http10 = !r.ProtoAtLeast(1, 1)
 	x.to = h
 	class := ""
-	if choose := x.conn.srv.cfg.Choose; choose != nil && r.URL.Path != "/_health" {
-		c := choose(r, source(x.conn.nc))
+	if choose := x.conn.srv.cfg.Choose; choose != nil {
+		c := choose(r, x.conn.listener, source(x.conn.nc))
 		if c.Status != 0 {
 			if x.here = c; r.Method == http.MethodHead {
 				x.here.Body = "" // what follows would be read as the next answer
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,7 +60,8 @@
 	MostBody  int64 // bytes of request bodies held at once
 	// Choose says what becomes of a request, by its head; nil: all go to the Server's
 	// Handler as they come.
-	Choose func(r *http.Request, from netip.Addr) Choice
+	// listener is the name of the one that its connection came by.
+	Choose func(r *http.Request, listener string, from netip.Addr) Choice
 	// TellConfig answers with the number of the configuration that a call lived under.
 	TellConfig bool
 	// Bodies keeps request bodies; nil: all are held in memory, within MostBody.
@@ -93,7 +94,9 @@
 	srv *Server
 	nc  net.Conn
 	in  capped
-	br  *bufio.Reader
+
+	listener string
+	br       *bufio.Reader
 
 	busy   bool // a request is being read or answered
 	head   bool
@@ -133,7 +136,10 @@
 }
 
 // Serve accepts connections until the listener is closed.
-func (s *Server) Serve(ln net.Listener) error {
+func (s *Server) Serve(ln net.Listener) error { return s.ServeAs("", ln) }
+
+// ServeAs does so for a listener with a name. All listeners' connections count together.
+func (s *Server) ServeAs(name string, ln net.Listener) error {
 	for {
 		nc, err := ln.Accept()
 		if err != nil {
@@ -146,12 +152,12 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		s.add(nc)
+		s.add(nc, name)
 	}
 }
 
-func (s *Server) add(nc net.Conn) {
-	c := &conn{srv: s, nc: nc, in: capped{Conn: nc}, fresh: true, since: time.Now()}
+func (s *Server) add(nc net.Conn, listener string) {
+	c := &conn{srv: s, nc: nc, listener: listener, in: capped{Conn: nc}, fresh: true, since: time.Now()}
 	c.br = bufio.NewReaderSize(&c.in, 4<<10)
 	c.served.L = &s.mu
 	s.mu.Lock()
--- a/internal/haproxy/translate/rules.go
+++ b/internal/haproxy/translate/rules.go
@@ -258,7 +258,7 @@
 			if len(cond) > 0 {
 				return Lost, "it takes no condition"
 			}
-			t.byDefault = to.Pool
+			t.byDefault[p] = to.Pool
 			return Carried, "the route behind all others"
 		}
 	case "http-request deny":
@@ -308,6 +308,7 @@
 	}
 	for _, m := range alternatives {
 		m.Pool, m.Status, m.Location, m.Body = to.Pool, to.Status, to.Location, to.Body
+		m.Listeners = t.listeners(p)
 		t.routes = append(t.routes, ranked{rank(k), m, d.At()})
 	}
 	return v, why
@@ -338,14 +339,23 @@
 		r.route.Name = fmt.Sprintf("%d from %s", n+1, r.at)
 		t.classed(r.route)
 	}
-	for _, p := range t.proxies { // one is the first
-		if p.first && t.byDefault == "" && t.made(p.backend) {
-			t.byDefault = p.backend
+	for _, p := range t.fronts {
+		pool := t.byDefault[p]
+		if pool == "" && t.made(p.backend) { // of its defaults
+			pool = p.backend
+		}
+		if pool != "" {
+			t.classed(features.Route{Name: "default of " + p.s.Name, Pool: pool, Listeners: t.listeners(p)})
 		}
 	}
-	if t.byDefault != "" {
-		t.classed(features.Route{Name: "default", Pool: t.byDefault})
+}
+
+// listeners are those of a frontend's routes; none need be named where there is one.
+func (t *translator) listeners(p *proxy) []string {
+	if len(t.fronts) < 2 {
+		return nil
 	}
+	return []string{p.listener}
 }
 
 // classed adds a route, or two where what may be repeated goes by the method.
--- a/internal/haproxy/translate/translate.go
+++ b/internal/haproxy/translate/translate.go
@@ -44,9 +44,10 @@
 
 // Result is what a configuration became.
 type Result struct {
-	Entries []Entry
-	Pools   []features.Pool
-	Routes  []features.Route
+	Entries   []Entry
+	Listeners []features.Listener
+	Pools     []features.Pool
+	Routes    []features.Route
 }
 
 // Count is how many directives have a verdict.
@@ -81,7 +82,9 @@
 	servers  []features.PoolServer
 	slow     time.Duration
 	conns    int
-	first    bool // the frontend that is carried
+	listener string // of a frontend that is carried; empty: it is not
+	bind     *haproxy.Directive
+	address  string // of bind
 	// each is what default-server puts before a server's own options, backend the default
 	// one, its defaults' included.
 	each    []string
@@ -95,13 +98,13 @@
 	proxies   map[*haproxy.Section]*proxy
 	backend   map[string]*proxy
 	routes    []ranked
-	byDefault string // the pool behind all rules
+	byDefault map[*proxy]string // the pool behind all rules of a frontend
+	fronts    []*proxy          // that are carried, in their order
 }
 
 // Translate gives every directive one verdict and makes what can be made.
 func Translate(c *haproxy.Config, o Options) *Result {
-	t := &translator{o: o, c: c, out: new(Result), proxies: make(map[*haproxy.Section]*proxy), backend: make(map[string]*proxy)}
-	listener := false
+	t := &translator{o: o, c: c, out: new(Result), proxies: make(map[*haproxy.Section]*proxy), backend: make(map[string]*proxy), byDefault: make(map[*proxy]string)}
 	for _, s := range c.Sections {
 		switch s.Kind {
 		case "frontend", "backend", "listen":
@@ -115,8 +118,8 @@
 				t.collect(p, d)
 			}
 		}
-		if s.Kind != "backend" && p.mode == "http" && !listener {
-			p.first, listener = true, true
+		if s.Kind != "backend" && p.mode == "http" && s.Head.Holds == haproxy.True {
+			t.listen(p)
 		}
 		if s.Kind != "frontend" && t.backend[s.Name] == nil {
 			t.backend[s.Name] = p
@@ -166,8 +169,10 @@
 		t.say(s, s.Head, Lost, "none of its servers is carried")
 	case s.Kind == "backend":
 		t.say(s, s.Head, Carried, "a pool")
-	case !p.first:
-		t.say(s, s.Head, Lost, "a second listener: the daemon has one, so its routes could not be told from the first one's")
+	case p.listener == "":
+		t.say(s, s.Head, Lost, "a further listener needs a name of its own and a bind with a port and without TLS")
+	case p.listener != features.PlatformListener:
+		t.say(s, s.Head, Carried, "a listener and its routes")
 	default:
 		t.say(s, s.Head, Different, "routes; where it listens is for the platform to say")
 	}
@@ -259,11 +264,45 @@
 		p.each = append(p.each[:len(p.each):len(p.each)], args...)
 	case "default_backend":
 		p.backend = arg(0)
+	case "bind":
+		if addr := address(arg(0)); p.bind == nil && addr != "" && !slices.Contains(args, "ssl") {
+			p.bind, p.address = d, addr
+		}
 	case "server":
 		t.server(p, args, true)
 	}
 }
 
+// address is where a bind listens, with a host and one port; empty if it says otherwise.
+func address(bind string) string {
+	host, port, err := net.SplitHostPort(strings.TrimPrefix(bind, "ipv4@"))
+	if n, perr := strconv.Atoi(port); err != nil || perr != nil || n < 1 || n > 65535 {
+		return ""
+	}
+	if host == "" || host == "*" {
+		host = "0.0.0.0"
+	}
+	if net.ParseIP(host) == nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+// listen gives a frontend its listener: the first one the platform's, others one of their
+// own, if they can have one.
+func (t *translator) listen(p *proxy) {
+	switch {
+	case len(t.fronts) == 0:
+		p.listener = features.PlatformListener
+	case p.bind == nil || p.s.Name == features.PlatformListener || slices.ContainsFunc(t.fronts, func(o *proxy) bool { return o.s.Name == p.s.Name }):
+		return
+	default:
+		p.listener = p.s.Name
+		t.out.Listeners = append(t.out.Listeners, features.Listener{Name: p.s.Name, Address: p.address})
+	}
+	t.fronts = append(t.fronts, p)
+}
+
 func harmless(method string) bool { return method == "GET" || method == "HEAD" || method == "OPTIONS" }
 
 // ofClass says whether a path is one that the platform's classes have.
@@ -382,14 +421,23 @@
 		t.say(s, d, Lost, "its section is not carried")
 	case p != nil && p.mode != "http":
 		t.say(s, d, Lost, "its section is of mode "+p.mode)
-	case p != nil && s.Kind != "backend" && !p.first && k != "server" && k != "balance":
-		t.say(s, d, Lost, "its section is a second listener")
+	case p != nil && s.Kind != "backend" && p.listener == "" && k != "server" && k != "balance":
+		t.say(s, d, Lost, "its section is a listener that is not carried")
 	case p != nil && s.Kind == "backend" && t.backend[s.Name] != p:
 		t.say(s, d, Lost, "its section has the name of another")
 	case k == "bind" && slices.Contains(d.Args(), "ssl"):
 		t.say(s, d, Lost, noTLS)
+	case k == "bind" && p != nil && p.listener != "" && p.listener != features.PlatformListener:
+		if d == p.bind {
+			t.say(s, d, Different, "a listener at "+p.address)
+		} else {
+			t.say(s, d, Lost, "one address for each listener")
+		}
 	case k == "server" && p != nil:
 		v, why := t.server(p, d.Args(), false)
+		if p.badCheck && v != Lost && slices.Contains(slices.Concat(p.each, d.Args()), "check") {
+			v, why = Different, why+"; it is not checked, for the check is dangerous"
+		}
 		t.say(s, d, v, why)
 	case k == "default-server":
 		if v, why := t.server(&proxy{}, append([]string{"any", "127.0.0.1:1"}, d.Args()...), false); v == Lost {
@@ -401,9 +449,9 @@
 		t.say(s, d, Carried, "for the frontend that is carried, if it has none of its own")
 	case k == "option httpchk" || k == "http-check send":
 		t.checkVerdict(s, d, p)
-	case p != nil && !p.first && keepsOut(d, k):
+	case p != nil && p.listener == "" && keepsOut(d, k):
 		t.say(s, d, Danger, "it keeps requests out, and rules of a backend are not carried: routes are chosen before it")
-	case p != nil && !p.first && (k == "http-request return" || k == "redirect" || k == "http-request redirect"):
+	case p != nil && p.listener == "" && (k == "http-request return" || k == "redirect" || k == "http-request redirect"):
 		t.say(s, d, Lost, "rules of a backend are not carried: routes are chosen before it")
 	case (k == "use_backend" || k == "default_backend" || k == "http-request deny" || k == "http-request return" || k == "redirect" || k == "http-request redirect") && p != nil:
 		v, why := t.rule(p, d, k)
@@ -525,8 +573,8 @@
 			}
 		}
 		t.out.Pools = append(t.out.Pools, pool)
-		if p.first && t.byDefault == "" { // a listen is its own backend
-			t.byDefault = s.Name
+		if p.listener != "" && t.byDefault[p] == "" { // a listen is its own backend
+			t.byDefault[p] = s.Name
 		}
 	}
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -520,3 +520,13 @@
 		}
 	})
 }
+
+// Who asks again: after a refusal all, after a mistake of their own nobody, after anything
+// else what may run again.
+func TestWhoAsksAgain(t *testing.T) {
+	for status, want := range map[int][2]bool{200: {}, 429: {true, true}, 503: {true, true}, 404: {}, 403: {}, 413: {}, 408: {true, false}, 500: {true, false}, 502: {true, false}, 0: {true, false}} {
+		if got := [2]bool{retries(&Class{Effect: Safe}, Reply{Status: status}), retries(&Class{Effect: Once}, Reply{Status: status})}; got != want {
+			t.Errorf("after %d: safe and once %v, want %v", status, got, want)
+		}
+	}
+}
--- a/internal/rig/pools_test.go
+++ b/internal/rig/pools_test.go
@@ -51,6 +51,10 @@
 max_held = 4
 servers = [{ name = "p1", address = %q }]
 [[routes]]
+name = "what the platform asks for, which no route takes"
+paths = ["/_health"]
+status = 500
+[[routes]]
 name = "inside only"
 prefixes = ["/status-check/admin"]
 sources = ["10.0.0.0/8"]
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -25,6 +25,8 @@
 
 // Match is what a route asks of a request. What is left out matches all.
 type Match struct {
+	// Listeners are names of those that a request came by; the platform's has none.
+	Listeners []string
 	// Hosts are names, or "*.example.com" for those below it; case does not matter, and
 	// a port in the request's Host is left out. Any of them will do, as in each list.
 	Hosts []string
@@ -71,6 +73,7 @@
 type Request struct {
 	Host, Path, Method string
 	Source             netip.Addr
+	Listener           string
 	// Header has the values of a field, whose name is as the route has it.
 	Header func(name string) []string
 }
@@ -297,6 +300,9 @@
 		!slices.ContainsFunc(c.regexps, func(re *regexp.Regexp) bool { return re.MatchString(q.Path) }) {
 		return false
 	}
+	if len(m.Listeners) > 0 && !slices.Contains(m.Listeners, q.Listener) {
+		return false
+	}
 	if len(m.Methods) > 0 && !slices.Contains(m.Methods, q.Method) {
 		return false
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -22,6 +22,7 @@
 		{"beta", Match{Hosts: []string{"*.example.com"}, Headers: []Header{{Name: "X-Beta", Value: "1"}, {Name: "X-Not", Not: true}}}, pool("beta")},
 		{"images", Match{Regexps: []string{`\.(png|jpe?g)$`}}, pool("static")},
 		{"shops", Match{Hosts: []string{"*.shop.example.com", "shop.example.com"}}, pool("shops")},
+		{"inner", Match{Listeners: []string{"inner"}}, pool("inner")},
 		{"rest", Match{}, pool("web")},
 	})
 	if err != nil {
@@ -33,21 +34,23 @@
 		q    Request
 		want string
 	}{
-		{Request{"x", "/admin", "GET", in, nil}, "admin from inside"},
-		{Request{"x", "/admin", "GET", netip.MustParseAddr("::ffff:10.1.2.3"), nil}, "admin from inside"},
-		{Request{"x", "/admin", "GET", out, nil}, "no admin"},
-		{Request{"x", "/admin/users", "GET", in, nil}, "no admin"},
-		{Request{"x", "/administrator", "GET", in, nil}, "rest"},
-		{Request{"api.example.com:8080", "/v1/a", "POST", out, nil}, "api post"},
-		{Request{"api.example.com.", "/v1", "POST", out, nil}, "api"},
-		{Request{"api.example.com", "/v1/a", "GET", out, beta}, "api"},
-		{Request{"api.example.com", "/v2", "GET", out, beta}, "beta"},
-		{Request{"a.b.example.com", "/", "GET", out, beta}, "beta"},
-		{Request{"example.com", "/", "GET", out, beta}, "rest"},
-		{Request{"a.shop.example.com", "/x.png", "GET", out, nil}, "images"},
-		{Request{"shop.example.com", "/", "GET", out, nil}, "shops"},
-		{Request{"[2001:db8::1]:80", "/", "GET", out, nil}, "rest"},
-		{Request{"", "", "", netip.Addr{}, nil}, "rest"},
+		{Request{"x", "/admin", "GET", in, "", nil}, "admin from inside"},
+		{Request{"x", "/admin", "GET", netip.MustParseAddr("::ffff:10.1.2.3"), "", nil}, "admin from inside"},
+		{Request{"x", "/admin", "GET", out, "", nil}, "no admin"},
+		{Request{"x", "/admin/users", "GET", in, "", nil}, "no admin"},
+		{Request{"x", "/administrator", "GET", in, "", nil}, "rest"},
+		{Request{"api.example.com:8080", "/v1/a", "POST", out, "", nil}, "api post"},
+		{Request{"api.example.com.", "/v1", "POST", out, "", nil}, "api"},
+		{Request{"api.example.com", "/v1/a", "GET", out, "", beta}, "api"},
+		{Request{"api.example.com", "/v2", "GET", out, "", beta}, "beta"},
+		{Request{"a.b.example.com", "/", "GET", out, "", beta}, "beta"},
+		{Request{"example.com", "/", "GET", out, "", beta}, "rest"},
+		{Request{"a.shop.example.com", "/x.png", "GET", out, "", nil}, "images"},
+		{Request{"shop.example.com", "/", "GET", out, "", nil}, "shops"},
+		{Request{"[2001:db8::1]:80", "/", "GET", out, "", nil}, "rest"},
+		{Request{"", "", "", netip.Addr{}, "", nil}, "rest"},
+		{Request{"x", "/", "GET", in, "inner", nil}, "inner"},
+		{Request{"x", "/", "GET", in, "outer", nil}, "rest"},
 	} {
 		if r := table.Find(&c.q); r == nil || r.Name != c.want {
 			t.Errorf("%+v: %+v, want %s", c.q, r, c.want)
