fawnctl plan: what a fleet can carry, and where, or which limits contradict each other

Need: operators could not ask beforehand whether the fleet bears the loss of a data centre, or what a change of it costs. Change: internal/simplex, a bounded revised simplex with certificates; internal/plan, the split as a linear programme with aims in an order, choice of nodes by branch and bound, losses by cuts, least sets of contradicting limits; weights signed for daemons (internal/weights, off), whose hold is lost by stated steps; a fleet in virtual time (internal/lab).

--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -30,6 +30,8 @@
 	Load     loadCmd     `cmd:"" help:"Send load at the times of a schedule, and measure."`
 	Rehearse rehearseCmd `cmd:"" help:"Play a scenario with a daemon and stand-in servers, and judge it by the rules."`
 	Import   importCmd   `cmd:"" help:"Make settings of other programs' configurations."`
+	Plan     fleetCmd    `cmd:"" help:"Work out what a fleet can carry, and where, or why it can't."`
+	Keygen   keygenCmd   `cmd:"" help:"Make a key that signs a plan's weights."`
 	Bodies   bodiesCmd   `cmd:"" help:"Where a running daemon keeps request bodies, and what became of them."`
 }
 
@@ -144,6 +146,12 @@
 			return 1
 		case errors.Is(err, errLosses):
 			return 1
+		case errors.Is(err, errShort):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 1
+		case errors.Is(err, errContradictory):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 2
 		case errors.Is(err, errDangers):
 			fmt.Fprintln(s.err, "fawnctl:", err)
 			return 2
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -95,3 +95,18 @@
 func (h *Host) write(s *Story) {
 	h.story.LogAttrs(context.Background(), slog.LevelInfo, StoryMessage, slog.Any("story", s))
 }
+
+// Measured is by how much the module corrects each server's hint by what it saw; 0 where
+// it has seen nothing.
+func (h *Host) Measured(servers []string) []float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	all := make([]float64, len(servers))
+	for n, name := range servers {
+		if v := h.b.ViewServer(now, name, -1); v.Learned != 1 {
+			all[n] = v.Learned
+		}
+	}
+	return all
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,12 +82,21 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
-	watcher.Listed, watcher.Failed = host.Listed, host.DiscoveryFailed
+	plan, err := newWeighted(c, host)
+	if err != nil {
+		return err
+	}
+	tell, steps := host.Listed, new(time.Ticker)
+	if plan != nil {
+		tell, steps = plan.listed, time.NewTicker(time.Duration(c.Features.Weights.Every))
+		defer steps.Stop()
+	}
+	watcher.Listed, watcher.Failed = tell, host.DiscoveryFailed
 	defer pool.Close()
 	defer host.Close()
 	defer watcher.Close()
 	if c.known != nil {
-		host.Listed(c.known)
+		tell(c.known)
 	}
 	var terminals *proxy.Proxy // nil: off
 	if c.Features.Radius.Enabled {
@@ -116,6 +125,9 @@
 			all["pools"] = func() any { return routes.status() }
 			all["listeners"] = func() any { return routes.addresses() }
 		}
+		if plan != nil {
+			all["weights"] = func() any { return plan.view() }
+		}
 		deeds := changes.pages(all)
 		operators, err := admin.Listen(path, all, deeds)
 		if err != nil {
@@ -129,7 +141,7 @@
 	if !c.asks {
 		listed := make(chan struct{}, 1)
 		watcher.Listed = func(l *membership.List) {
-			host.Listed(l)
+			tell(l)
 			select {
 			case listed <- struct{}{}:
 			default:
@@ -167,6 +179,9 @@
 			runtime.GC()
 		case <-hup:
 			changes.reload()
+			plan.reload()
+		case now := <-steps.C:
+			plan.tick(now)
 		case a := <-changes.asks:
 			v, err := a.do()
 			a.reply <- answered{v, err}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -34,6 +34,8 @@
 	Admin Admin `toml:"admin"`
 	// Config takes changes of the configuration while the daemon runs.
 	Config Config `toml:"config"`
+	// Weights are a plan's, of the platform's servers.
+	Weights Weights `toml:"weights"`
 	// Listeners are further addresses for clients.
 	Listeners []Listener `toml:"listeners"`
 	// Pools are further servers, Routes say which requests go to which of them.
@@ -60,7 +62,7 @@
 
 // Default is a file that says nothing.
 func Default() *File {
-	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault(), Config: configDefault()}
+	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault(), Config: configDefault(), Weights: weightsDefault()}
 }
 
 // Problem is one complaint about a file.
@@ -139,6 +141,7 @@
 	f.Radius.check(c)
 	f.Bodies.check(c)
 	f.Config.check(c)
+	f.Weights.check(c)
 	f.checkRoutes(c)
 	c.need(f.Admin.Socket == "" || len(f.Admin.Socket) <= socketMost, "admin.socket", "must be %d bytes long at most", socketMost)
 }
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,366 @@
+// Package lab is a fleet in virtual time: sidecars with the decision module in them, nodes
+// with cores, a speed and a queue, and clients that ask at random times and try again. It
+// shows what a decision does over minutes or hours of load in seconds, the same on every
+// run. Nodes know nothing of sidecars, and nothing of a node is told but its answers.
+package lab
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"chalkrack"
+)
+
+// Class is a class of requests.
+type Class struct {
+	chalkrack.Class
+	Share float64
+	Work  time.Duration // mean, on a core of speed 1; exponential above a fifth of it
+}
+
+// Node is a server.
+type Node struct {
+	Name  string
+	Speed float64
+	Cores int
+	Room  int // requests that wait; more are turned away
+}
+
+// Config is what a Lab is made of.
+type Config struct {
+	Seed     uint64
+	Nodes    []Node
+	Sidecars int
+	Classes  []Class
+	Rate     func(at time.Duration) float64 // requests a second, of all clients
+	Share    func(sidecar int) float64      // a sidecar's part of them; nil: equal
+	Rules    chalkrack.Config               // Instances and Classes are filled in
+	Wait     time.Duration                  // that clients wait
+	Tries    int                            // further ones of a client after a refusal
+	Honour   float64                        // share of clients that wait as they are told
+	InStep   bool                           // the others come at the next whole second, all together
+	Begin    func(*Sidecar)                 // told of each before it hears of servers
+}
+
+// Second is what happened in one second, by class where it says so.
+type Second struct {
+	Asked, Served []float64 // first tries, and those of them answered in time
+	Refused       []int     // answers, of any try
+	Late, Failed  int
+	Sent          int // attempts
+}
+
+// Lab is one run. It is for one goroutine.
+type Lab struct {
+	Now      time.Duration
+	Sidecars []*Sidecar
+	Seconds  []Second
+	Rand     *rand.Rand
+
+	cfg    Config
+	events events
+	n      int
+	nodes  map[string]*machine
+}
+
+// Sidecar hosts one Balancer.
+type Sidecar struct {
+	*chalkrack.Balancer
+	Lab   *Lab
+	Index int
+	Held  int
+	// Ended counts outcomes of attempts since whoever reads them last took them away: all,
+	// late or never answered, and turned away.
+	Ended, Late, Full float64
+
+	calls map[chalkrack.RequestID]*call
+	last  chalkrack.RequestID
+}
+
+type call struct {
+	class int
+	came  time.Duration // of its first try
+	first int           // its second
+	try   int
+	sent  int
+	over  bool
+	begun time.Duration
+}
+
+type event struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// onWire is the way between two machines.
+const onWire = 500 * time.Microsecond
+
+// New returns a Lab at its beginning.
+func New(cfg Config) (*Lab, error) {
+	l := &Lab{cfg: cfg, Rand: rand.New(rand.NewPCG(cfg.Seed, 1)), nodes: make(map[string]*machine)}
+	rules := cfg.Rules
+	rules.Instances = cfg.Sidecars
+	for _, c := range cfg.Classes {
+		rules.Classes = append(rules.Classes, c.Class)
+	}
+	var list []chalkrack.Endpoint
+	for _, n := range cfg.Nodes {
+		l.nodes[n.Name] = &machine{lab: l, Node: n}
+		list = append(list, chalkrack.Endpoint{Name: n.Name, Hint: 1})
+	}
+	for n := range cfg.Sidecars {
+		s := &Sidecar{Lab: l, Index: n, calls: make(map[chalkrack.RequestID]*call)}
+		var err error
+		if s.Balancer, err = chalkrack.New(rules, cfg.Seed+uint64(n), s); err != nil {
+			return nil, fmt.Errorf("lab: %w", err)
+		}
+		l.Sidecars = append(l.Sidecars, s)
+		if cfg.Begin != nil {
+			cfg.Begin(s)
+		}
+		s.ServersListed(0, list)
+		l.arrivals(s)
+	}
+	return l, nil
+}
+
+// After has something done later.
+func (l *Lab) After(d time.Duration, do func()) {
+	l.n++
+	heap.Push(&l.events, event{l.Now + max(d, 0), l.n, do})
+}
+
+// Every has something done again and again.
+func (l *Lab) Every(d time.Duration, do func()) {
+	l.After(d, func() {
+		do()
+		l.Every(d, do)
+	})
+}
+
+// Run goes on until a time.
+func (l *Lab) Run(until time.Duration) {
+	for len(l.events) > 0 && l.events[0].at < until {
+		e := heap.Pop(&l.events).(event)
+		l.Now = e.at
+		e.do()
+	}
+	l.Now = until
+}
+
+func (l *Lab) second() *Second { return l.at(int(l.Now / time.Second)) }
+
+func (l *Lab) at(n int) *Second {
+	for len(l.Seconds) <= n {
+		k := len(l.cfg.Classes)
+		l.Seconds = append(l.Seconds, Second{Asked: make([]float64, k), Served: make([]float64, k), Refused: make([]int, k)})
+	}
+	return &l.Seconds[n]
+}
+
+// Worth is the share of worth that was served in time, of what was asked for within some
+// seconds.
+func (l *Lab) Worth(from, to int) float64 {
+	asked, served := 0.0, 0.0
+	for n := from; n < to && n < len(l.Seconds); n++ {
+		for c, k := range l.cfg.Classes {
+			asked += l.Seconds[n].Asked[c] * k.Worth
+			served += l.Seconds[n].Served[c] * k.Worth
+		}
+	}
+	return served / max(asked, 1e-9)
+}
+
+// arrivals has a sidecar's clients ask: a Poisson process, thinned where the rate varies.
+func (l *Lab) arrivals(s *Sidecar) {
+	part := 1 / float64(l.cfg.Sidecars)
+	if l.cfg.Share != nil {
+		part = l.cfg.Share(s.Index)
+	}
+	var next func()
+	next = func() {
+		rate := l.cfg.Rate(l.Now) * part
+		if rate <= 0 {
+			l.After(100*time.Millisecond, next)
+			return
+		}
+		// A gap is drawn at the rate as it is now: rates change slowly beside it.
+		gap := time.Duration(l.Rand.ExpFloat64() / rate * float64(time.Second))
+		if gap > time.Second {
+			l.After(time.Second, next)
+			return
+		}
+		l.After(gap, func() {
+			s.ask()
+			next()
+		})
+	}
+	next()
+}
+
+func (s *Sidecar) ask() {
+	l := s.Lab
+	class, r := 0, l.Rand.Float64()
+	for r -= l.cfg.Classes[0].Share; r > 0 && class+1 < len(l.cfg.Classes); r -= l.cfg.Classes[class].Share {
+		class++
+	}
+	q := &call{class: class, came: l.Now, first: int(l.Now / time.Second)}
+	l.second().Asked[class]++
+	s.send(q)
+}
+
+func (s *Sidecar) send(q *call) {
+	s.last++
+	id := s.last
+	q.over, q.sent, q.begun = false, 0, s.Lab.Now
+	s.calls[id] = q
+	s.Held++
+	s.Arrive(s.Lab.Now, chalkrack.Request{ID: id, Class: q.class, Tenant: -1, Deadline: s.Lab.Now + s.Lab.cfg.Wait})
+}
+
+// ended ends a try; after says when its client may come again.
+func (s *Sidecar) ended(id chalkrack.RequestID, after time.Duration, again bool) {
+	l, q := s.Lab, s.calls[id]
+	if q == nil || q.over {
+		return
+	}
+	q.over = true
+	s.Held--
+	delete(s.calls, id)
+	if !again || q.try >= l.cfg.Tries {
+		return
+	}
+	more := *q
+	more.try++
+	wait := time.Duration((0.5 + l.Rand.Float64()) * float64(200*time.Millisecond<<q.try))
+	switch {
+	case l.Rand.Float64() < l.cfg.Honour:
+		wait = max(after, wait)
+	case l.cfg.InStep:
+		wait = l.Now.Truncate(time.Second) + time.Second - l.Now
+	}
+	l.After(wait, func() { s.send(&more) })
+}
+
+// Send implements chalkrack.Host.
+func (s *Sidecar) Send(id chalkrack.RequestID, server string, timeout time.Duration) {
+	l, q := s.Lab, s.calls[id]
+	n, class := q.sent, &l.cfg.Classes[q.class]
+	q.sent++
+	l.second().Sent++
+	done := false
+	sent := l.Now
+	end := func(o chalkrack.Outcome) {
+		if done {
+			return
+		}
+		done = true
+		s.Ended++
+		if o == chalkrack.Full {
+			s.Full++
+		} else if l.Now-sent > class.Aim {
+			s.Late++
+		}
+		over := q.over
+		if o == chalkrack.OK && !over {
+			if l.Now-q.begun <= class.Aim {
+				l.at(q.first).Served[q.class]++
+			} else {
+				l.second().Late++
+			}
+			s.ended(id, 0, false)
+		}
+		s.Done(l.Now, id, n, o, q.over, chalkrack.Report{})
+	}
+	work := time.Duration((0.2 + 0.8*l.Rand.ExpFloat64()) * float64(class.Work))
+	l.After(onWire, func() {
+		if !l.nodes[server].serve(work, func() { l.After(onWire, func() { end(chalkrack.OK) }) }) {
+			l.After(onWire, func() { end(chalkrack.Full) })
+		}
+	})
+	l.After(timeout, func() { end(chalkrack.TimedOut) })
+}
+
+// Refuse implements chalkrack.Host.
+func (s *Sidecar) Refuse(id chalkrack.RequestID, after time.Duration) {
+	if q := s.calls[id]; q != nil {
+		s.Lab.second().Refused[q.class]++
+	}
+	s.ended(id, after, true)
+}
+
+// Fail implements chalkrack.Host.
+func (s *Sidecar) Fail(id chalkrack.RequestID) {
+	s.Lab.second().Failed++
+	s.ended(id, 0, false)
+}
+
+// SetTimer implements chalkrack.Host.
+func (s *Sidecar) SetTimer(cookie uint64, after time.Duration) {
+	s.Lab.After(after, func() { s.Timer(s.Lab.Now, cookie) })
+}
+
+// Cancel implements chalkrack.Host: work that was begun goes on.
+func (s *Sidecar) Cancel(chalkrack.RequestID, int) {}
+
+// CloseIdle implements chalkrack.Host.
+func (s *Sidecar) CloseIdle(string) {}
+
+// Probe implements chalkrack.Host.
+func (s *Sidecar) Probe(string) {}
+
+// Subscribe implements chalkrack.Host.
+func (s *Sidecar) Subscribe() {}
+
+type machine struct {
+	Node
+	lab     *Lab
+	busy    int
+	waiting []func()
+}
+
+// serve takes a request's work; false: there is no room.
+func (m *machine) serve(work time.Duration, done func()) bool {
+	run := func() {
+		m.busy++
+		m.lab.After(time.Duration(float64(work)/m.Speed), func() {
+			m.busy--
+			done()
+			if len(m.waiting) > 0 {
+				next := m.waiting[0]
+				m.waiting = m.waiting[1:]
+				next()
+			}
+		})
+	}
+	switch {
+	case m.busy < m.Cores:
+		run()
+	case len(m.waiting) < m.Room:
+		m.waiting = append(m.waiting, run)
+	default:
+		return false
+	}
+	return true
+}
+
+// Speed changes a node's from now on, for work that begins then.
+func (l *Lab) Speed(node string, speed float64) { l.nodes[node].Speed = speed }
--- /dev/null
+++ b/internal/weights/fleet_test.go
@@ -0,0 +1,118 @@
+package weights
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chalkrack"
+	"chalkrack/internal/lab"
+)
+
+var classes = []lab.Class{
+	{Class: chalkrack.Class{Aim: 800 * time.Millisecond, Worth: 1, Effect: chalkrack.Safe}, Share: 0.52, Work: 130 * time.Millisecond},
+	{Class: chalkrack.Class{Aim: time.Second, Worth: 3, Effect: chalkrack.Keyed, Window: 1500 * time.Millisecond}, Share: 0.27, Work: 130 * time.Millisecond},
+	{Class: chalkrack.Class{Aim: 750 * time.Millisecond, Worth: 10, Effect: chalkrack.Unsafe}, Share: 0.21, Work: 130 * time.Millisecond},
+}
+
+// play is the share of worth served in time, in the first minute after all sidecars
+// started and in the second, with a plan of weights; nil: without.
+func play(t testing.TB, seed uint64, load float64, plan map[string]float64) (first, second float64) {
+	cfg := lab.Config{Seed: seed, Sidecars: 10, Classes: classes, Wait: 2500 * time.Millisecond,
+		Rules: chalkrack.Config{MaxAttempts: 5, SecondCopies: true, MaxRetryAfter: 2 * time.Second, WasteCost: 0.002}}
+	capacity := 0.0
+	for n := range 20 {
+		cfg.Nodes = append(cfg.Nodes, lab.Node{Name: fmt.Sprint("n", n), Speed: speedOf(n), Cores: 2, Room: 6})
+		capacity += 2 * speedOf(n)
+	}
+	rate := load * capacity / 0.13
+	cfg.Rate = func(time.Duration) float64 { return rate }
+	if plan != nil {
+		cfg.Begin = func(s *lab.Sidecar) {
+			hc := Default()
+			hc.Zone = "here"
+			h := NewHolder(hc)
+			h.Take(planOf(noon, plan))
+			nodes := func() (all []Node) {
+				for _, n := range cfg.Nodes {
+					m := s.ViewServer(s.Lab.Now, n.Name, -1).Learned
+					if m == 1 {
+						m = 0
+					}
+					all = append(all, Node{n.Name, m})
+				}
+				return all
+			}
+			tell := func(hints map[string]float64) {
+				var all []chalkrack.Endpoint
+				for _, n := range cfg.Nodes {
+					if f, ok := hints[n.Name]; ok {
+						all = append(all, chalkrack.Endpoint{Name: n.Name, Hint: f})
+					}
+				}
+				s.ServersChanged(s.Lab.Now, all)
+			}
+			h.Start(noon, nodes())
+			s.Lab.After(0, func() { tell(h.View().Hints) })
+			s.Lab.Every(hc.Every, func() {
+				if changed := h.Tick(noon.Add(s.Lab.Now), nodes()); len(changed) > 0 {
+					tell(changed)
+				}
+			})
+		}
+	}
+	l, err := lab.New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Run(2 * time.Minute)
+	return l.Worth(0, 60), l.Worth(60, 118)
+}
+
+func speedOf(n int) float64 {
+	if n%2 == 0 {
+		return 1.5 + 0.03*float64(n)
+	}
+	return 0.77 + 0.011*float64(n)
+}
+
+// With a plan the first minute is no worse than without, mostly better; one that is stale
+// or wrong by a factor of four costs little, and by the second minute next to nothing.
+func TestPlansInUse(t *testing.T) {
+	right, stale, wrong := make(map[string]float64), make(map[string]float64), make(map[string]float64)
+	for n := range 20 {
+		name := fmt.Sprint("n", n)
+		right[name] = speedOf(n)
+		stale[name] = speedOf((n + n/5) % 20) // some of its nodes are others by now
+		wrong[name] = speedOf(n)
+		if n%5 == 0 {
+			wrong[name] *= 4
+		}
+		if n%5 == 1 {
+			wrong[name] /= 4
+		}
+	}
+	sum := make(map[string][2]float64)
+	const seeds = 3
+	for _, load := range []float64{0.6, 0.8, 0.95} {
+		for _, c := range []struct {
+			name string
+			plan map[string]float64
+		}{{"none", nil}, {"right", right}, {"stale", stale}, {"wrong", wrong}} {
+			var a, b float64
+			for seed := range uint64(seeds) {
+				x, y := play(t, seed, load, c.plan)
+				a, b = a+x/seeds, b+y/seeds
+			}
+			t.Logf("load %.1f, %-6s worth in time: first minute %.4f, second %.4f", load, c.name, a, b)
+			sum[fmt.Sprint(load, c.name)] = [2]float64{a, b}
+		}
+		none, best, off := sum[fmt.Sprint(load, "none")], sum[fmt.Sprint(load, "right")], sum[fmt.Sprint(load, "wrong")]
+		if best[0] < none[0]-0.002 {
+			t.Errorf("load %v: the first minute is worse with the plan, %v, than without, %v", load, best[0], none[0])
+		}
+		if off[1] < none[1]-0.02 {
+			t.Errorf("load %v: a wrong plan still costs in the second minute: %v, without %v", load, off[1], none[1])
+		}
+	}
+}
