Shared duties: probing divided among sidecars by notes, with bounds no view can break

Need: each sidecar that probes every node costs work that grows with the square of the fleet. Change: internal/duty, SWIM's signs and suspicion, rendezvous order, fixed watchers, takeover by the age of what is known, budgets by sidecar and by node, notes of 256 bytes with a tag; its host on UDP; fawnctl duty.

--- a/internal/core/reduce.go
+++ b/internal/core/reduce.go
@@ -43,3 +43,10 @@
 		h.tally.Late++
 	}
 }
+
+// Reported takes a server's load as it was seen some time ago.
+func (h *Host) Reported(server string, age time.Duration, rep chalkrack.Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.b.Probed(h.now()-age, server, rep)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,6 +91,18 @@
 		tell, steps = plan.listed, time.NewTicker(time.Duration(c.Features.Weights.Every))
 		defer steps.Stop()
 	}
+	shared, err := newDuties(c, host)
+	if err != nil {
+		return err
+	}
+	defer shared.close()
+	if shared != nil {
+		next := tell
+		tell = func(l *membership.List) {
+			shared.listed(l)
+			next(l)
+		}
+	}
 	watcher.Listed, watcher.Failed = tell, host.DiscoveryFailed
 	defer pool.Close()
 	defer host.Close()
@@ -137,6 +149,9 @@
 		if plan != nil {
 			all["weights"] = func() any { return plan.view() }
 		}
+		if shared != nil {
+			all["duty"] = func() any { return shared.view() }
+		}
 		deeds := changes.pages(all)
 		if less != nil {
 			if deeds == nil {
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -38,6 +38,8 @@
 	Weights Weights `toml:"weights"`
 	// Level is reduced service.
 	Level Level `toml:"level"`
+	// Duty is shared probing.
+	Duty Duty `toml:"duty"`
 	// Listeners are further addresses for clients.
 	Listeners []Listener `toml:"listeners"`
 	// Pools are further servers, Routes say which requests go to which of them.
@@ -64,7 +66,7 @@
 
 // Default is a file that says nothing.
 func Default() *File {
-	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault(), Config: configDefault(), Weights: weightsDefault()}
+	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault(), Config: configDefault(), Weights: weightsDefault(), Duty: dutyDefault()}
 }
 
 // Problem is one complaint about a file.
@@ -145,6 +147,7 @@
 	f.Config.check(c)
 	f.Weights.check(c)
 	f.Level.check(c)
+	f.Duty.check(c)
 	f.checkRoutes(c)
 	c.need(f.Admin.Socket == "" || len(f.Admin.Socket) <= socketMost, "admin.socket", "must be %d bytes long at most", socketMost)
 }
