--- a/cmd/fawnctl/status.go
+++ b/cmd/fawnctl/status.go
@@ -15,6 +15,7 @@
 	"chalkrack/internal/admin"
 	"chalkrack/internal/body"
 	"chalkrack/internal/daemon"
+	"chalkrack/internal/weights"
 )
 
 type socketFlags struct {
@@ -57,6 +58,14 @@
 	} else {
 		fmt.Fprintf(w, "bodies\t[bodies] is off\n")
 	}
+	var plan weights.View
+	if err := admin.Ask(context.Background(), c.Socket, "weights", &plan); err == nil {
+		why := ""
+		if plan.Why != weights.None {
+			why = ": " + string(plan.Why)
+		}
+		fmt.Fprintf(w, "weights\thold %.2f%s; of %s, until %s; %d servers known, %d not\n", plan.Hold, why, plan.Made.Format(time.DateTime), plan.Until.Format(time.DateTime), plan.Known, plan.Unknown)
+	}
 	return w.Flush()
 }
 
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -27,7 +27,6 @@
 	nodes  []Node
 	loss   float64
 	cut    func(from, to *car) bool // nil: nobody is
-	lags   time.Duration            // how late a sidecar's list is, at the most
 
 	probes  map[string][]time.Duration // at each node
 	perCar  int
@@ -560,3 +559,103 @@
 		}
 	}
 }
+
+// Whatever befalls sidecars and notes, as long as a third of the sidecars live: at every
+// moment each node was probed within the bound of those that lived least.
+func TestAnyTroubles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const cars, nodes = 12, 8
+		w := newWorld(rapid.Uint64Range(1, 1000).Draw(t, "seed"), cars, nodes, nil)
+		w.run(10 * time.Second)
+		least := cars
+		for range 8 {
+			switch rapid.IntRange(0, 5).Draw(t, "trouble") {
+			case 0:
+				alive := 0
+				for _, c := range w.cars {
+					if !c.dead {
+						alive++
+					}
+				}
+				for _, c := range w.cars {
+					if alive > cars/3 && !c.dead && rapid.IntRange(0, 2).Draw(t, "dies") == 0 {
+						c.dead = true
+						alive--
+					}
+				}
+				least = min(least, alive)
+			case 1:
+				for _, c := range w.cars {
+					if c.dead {
+						w.start(c)
+					}
+				}
+			case 2:
+				w.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5, 1}).Draw(t, "loss")
+			case 3:
+				side := rapid.IntRange(1, 1<<cars-1).Draw(t, "side")
+				part := make(map[*car]bool)
+				for n, c := range w.cars {
+					part[c] = side&(1<<n) != 0
+				}
+				oneWay := rapid.Bool().Draw(t, "one way")
+				w.cut = func(a, b *car) bool { return part[a] && !part[b] || !oneWay && part[b] && !part[a] }
+			case 4:
+				w.cut = nil
+			case 5:
+				w.cars[rapid.IntRange(0, cars-1).Draw(t, "steps")].offset += time.Duration(rapid.IntRange(0, 3600).Draw(t, "by")) * time.Second
+			}
+			w.run(w.now + time.Duration(rapid.IntRange(1, 10).Draw(t, "s"))*time.Second)
+		}
+		_, most, gap := w.seen(8*time.Second, w.now)
+		if bound := w.cfg.TakeoverGap(cars, least); gap > bound {
+			t.Fatalf("a node was not probed for %v, %v at the most with %d of %d alive", gap, bound, least, cars)
+		}
+		if most > cars {
+			t.Fatalf("%d probes of one node in a second", most)
+		}
+	})
+}
+
+// Lists that come up to 9 s late, and differ meanwhile: what stays is probed on, what is
+// new soon after somebody knows of it, and nobody probes what its own list does not name.
+func TestLists(t *testing.T) {
+	w := newWorld(6, 40, 40, nil)
+	w.run(15 * time.Second)
+	old := slices.Clone(w.nodes)
+	var next []Node
+	for n := 5; n < 45; n++ {
+		next = append(next, Node{fmt.Sprint("n", n), zones[n%3]})
+	}
+	changed := w.now
+	for _, c := range w.cars {
+		at := time.Duration(w.rng.Int64N(int64(9 * time.Second)))
+		w.after(at, func() {
+			c.d.Nodes(w.now+c.offset, next)
+			for _, n := range c.d.View().Nodes {
+				if slices.Contains(old[:5], Node{n.Name, zones[0]}) {
+					t.Errorf("%s still knows of %s", c.name, n.Name)
+				}
+			}
+		})
+	}
+	w.run(60 * time.Second)
+	w.nodes = next[:35]
+	if _, _, gap := w.seen(12*time.Second, 60*time.Second); gap > w.cfg.WatchedGap() {
+		t.Errorf("a node that stayed was not probed for %v", gap)
+	}
+	for _, n := range next[35:] {
+		if at := w.probes[n.Name]; len(at) == 0 || at[0]-changed > 9*time.Second {
+			t.Errorf("%s, which is new, was first probed at %v", n.Name, at)
+		}
+	}
+	w.nodes = next[35:]
+	if _, _, gap := w.seen(changed+12*time.Second, 60*time.Second); gap > w.cfg.WatchedGap() {
+		t.Errorf("a new node was not probed for %v", gap)
+	}
+	for _, n := range old[:5] {
+		if at := w.probes[n.Name]; at[len(at)-1] > changed+9*time.Second {
+			t.Errorf("%s, which no list names, was probed %v later", n.Name, at[len(at)-1]-changed)
+		}
+	}
+}
--- a/internal/level/config.go
+++ b/internal/level/config.go
@@ -102,7 +102,7 @@
 // Default is a configuration for some classes: the cheapest is cut first, the dearest
 // never.
 func Default(classes []Class) Config {
-	c := Config{Classes: classes, EnterAfter: 500 * time.Millisecond, LeaveAfter: 10 * time.Second, Proof: time.Minute, Doublings: 5, Slope: 1.15, Evidence: 20, MostWait: 2 * time.Second}
+	c := Config{Classes: classes, EnterAfter: 500 * time.Millisecond, LeaveAfter: 20 * time.Second, Proof: time.Minute, Doublings: 5, Slope: 1.15, Evidence: 20, MostWait: 2 * time.Second}
 	cheapest, dearest := math.Inf(1), 0.0
 	for _, k := range classes {
 		cheapest, dearest = min(cheapest, k.Worth), max(dearest, k.Worth)
--- a/internal/level/lab_test.go
+++ b/internal/level/lab_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"fmt"
+	"math"
+	"os"
 	"testing"
 	"time"
 
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+
 	"chalkrack"
 	"chalkrack/internal/lab"
 )
@@ -18,6 +24,7 @@
 	changes int
 	lab     *lab.Lab
 	cars    []*Machine
+	levels  []float64 // in the mean, by second
 }
 
 const minutes = 2
@@ -69,6 +76,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	l.Every(time.Second, func() {
+		sum := 0.0
+		for _, m := range p.cars {
+			sum += float64(m.Level()) / float64(len(p.cars))
+		}
+		p.levels = append(p.levels, sum)
+	})
 	l.Run(minutes * time.Minute)
 	p.lab, p.worth = l, l.Worth(5, 60*minutes-5)
 	for _, s := range l.Seconds {
@@ -110,3 +124,75 @@
 		}
 	}
 }
+
+// Leaving releases no burst: whatever clients do that were turned away, what is sent to
+// servers in a second stays under a stated multiple of the second before.
+func TestLeaving(t *testing.T) {
+	const most = 1.6
+	surge := func(at time.Duration) float64 {
+		if at > 20*time.Second && at < 50*time.Second {
+			return 2.5
+		}
+		return 0.6
+	}
+	for _, c := range []struct {
+		name   string
+		change func(*lab.Config)
+	}{
+		{"clients wait as they are told", func(c *lab.Config) { c.Honour = 1 }},
+		{"clients come when they like", func(c *lab.Config) { c.Honour = 0 }},
+		{"clients come all in step", func(c *lab.Config) { c.Honour, c.InStep = 0, true }},
+	} {
+		p := play(t, 5, true, surge, c.change)
+		worst := 0.0
+		for s := 52; s < len(p.lab.Seconds)-1; s++ { // on the way out
+			now, was := float64(p.lab.Seconds[s].Sent), float64(p.lab.Seconds[s-1].Sent)
+			worst = max(worst, now/max(was, 1))
+		}
+		left := 0
+		for _, m := range p.cars {
+			if m.Level() == Normal {
+				left++
+			}
+		}
+		t.Logf("%s: sent in a second at the most %.2f of the second before, on the way out; %d of 40 back at normal, %d changes", c.name, worst, left, p.changes)
+		if worst > most {
+			t.Errorf("%s: %.2f times what was sent in the second before, %v at the most", c.name, worst, most)
+		}
+		if left < 35 {
+			t.Errorf("%s: %d of 40 back at normal", c.name, left)
+		}
+	}
+}
+
+// FAWN_FIGURE=FILE.svg draws the load, the mean level and the worth served of a surge.
+func TestFigure(t *testing.T) {
+	path := os.Getenv("FAWN_FIGURE")
+	if path == "" {
+		t.Skip("FAWN_FIGURE is not set")
+	}
+	surge := func(at time.Duration) float64 {
+		return 0.6 + 1.9*math.Pow(math.Sin(math.Pi*min(1, max(0, (at.Seconds()-15)/50))), 2)
+	}
+	p := play(t, 1, true, surge, nil)
+	alone := play(t, 1, false, surge, nil)
+	var load, levels, worth, without plotter.XYs
+	for s, l := range p.levels {
+		levels = append(levels, plotter.XY{X: float64(s), Y: l})
+	}
+	for s := 3; s < len(p.lab.Seconds)-3; s++ {
+		load = append(load, plotter.XY{X: float64(s), Y: surge(time.Duration(s) * time.Second)})
+		worth = append(worth, plotter.XY{X: float64(s), Y: p.lab.Worth(s-2, s+3)})
+		without = append(without, plotter.XY{X: float64(s), Y: alone.lab.Worth(s-2, s+3)})
+	}
+	pl := plot.New()
+	pl.Title.Text = "a surge: load of the capacity, level in the mean (0 to 4), worth served in time"
+	pl.X.Label.Text = "seconds"
+	if err := plotutil.AddLines(pl, "load", load, "level", levels, "worth with levels", worth, "worth without", without); err != nil {
+		t.Fatal(err)
+	}
+	pl.Legend.Top = true
+	if err := pl.Save(700, 320, path); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/level/level_test.go
+++ b/internal/level/level_test.go
@@ -68,7 +68,7 @@
 // Up at once to the highest, down a step at a time after the dwell; a level entered again
 // within the proof holds twice as long, and one that stays out forgets that.
 func TestUpAndDown(t *testing.T) {
-	m := made(t, nil)
+	m := made(t, func(c *Config) { c.LeaveAfter = 10 * time.Second })
 	now := time.Duration(0)
 	run := func(d time.Duration, r Reading) {
 		for end := now + d; now < end; {
@@ -122,7 +122,7 @@
 // Too few outcomes, sensors that say nothing and no number move nothing up, and hold
 // nobody down; a clock that jumps proves no calm.
 func TestThin(t *testing.T) {
-	m := made(t, nil)
+	m := made(t, func(c *Config) { c.LeaveAfter = 10 * time.Second })
 	thin := late(1)
 	thin.Outcomes = 19
 	bad := late(math.NaN())
@@ -336,7 +336,7 @@
 // Clients that wait as they are told come back spread over the ramp, none later than the
 // most they may be told.
 func TestWait(t *testing.T) {
-	m := made(t, func(c *Config) { c.MostWait = time.Minute })
+	m := made(t, func(c *Config) { c.MostWait, c.LeaveAfter = time.Minute, 10*time.Second })
 	if w := m.Wait(0, 0.5); w != 0 {
 		t.Errorf("%v at normal", w)
 	}
--- a/internal/level/machine.go
+++ b/internal/level/machine.go
@@ -46,21 +46,23 @@
 
 // ramp is a class's way back: what may be let in, by a rate that grows.
 type ramp struct {
-	on   bool
-	rate float64 // a second
-	at   time.Duration
-	room float64
+	on     bool
+	rate   float64 // a second
+	at     time.Duration
+	room   float64 // of a bucket, filled last when
+	filled time.Duration
 }
 
 // Machine has the level of one sidecar. One owner calls its methods in turn. A time that
 // goes back counts as none passing.
 type Machine struct {
-	cfg  Config
-	now  time.Duration
-	free Level // by the conditions
-	pin  pin
+	cfg   Config
+	now   time.Duration
+	began time.Duration // the first Tick
+	free  Level         // by the conditions
+	pin   pin
 
-	since   time.Duration // of the level that the conditions ask for
+	ticked  time.Duration // the last Tick
 	highFor [levels]time.Duration
 	calmFor time.Duration
 	left    [levels]time.Duration // when each was left last; 0: never
@@ -93,11 +95,15 @@
 	return m.free
 }
 
-// step moves the Machine's clock and says how much passed.
-func (m *Machine) step(now time.Duration) time.Duration {
-	d := max(0, now-m.now)
-	m.now = max(m.now, now)
-	return min(d, gapMost)
+// step moves the Machine's clock.
+func (m *Machine) step(now time.Duration) { m.now = max(m.now, now) }
+
+// since is how much passed on the Machine's clock since a time, which it moves on. Each
+// user of time has one of its own: arrivals between two Ticks take nothing from them.
+func (m *Machine) since(at *time.Duration) time.Duration {
+	d := min(m.now-*at, gapMost)
+	*at = m.now
+	return d
 }
 
 // Pin holds a level until a time, or ends that where until has passed.
@@ -143,7 +149,11 @@
 // Tick takes a reading and returns the level in force.
 func (m *Machine) Tick(now time.Duration, r Reading) Level {
 	was := m.Level()
-	passed := m.step(now)
+	m.step(now)
+	if m.began == 0 {
+		m.began, m.ticked = m.now, m.now
+	}
+	passed := m.since(&m.ticked)
 	m.last = r
 	why := ""
 	// Up: the highest whose condition has held for long enough, at once.
@@ -167,12 +177,12 @@
 				m.doubled[l] = min(m.doubled[l]+1, m.cfg.Doublings)
 			}
 		}
-		m.free, m.since, m.calmFor = up, m.now, 0
+		m.free, m.calmFor = up, 0
 	case m.free > Normal && m.calm(m.free, &r):
 		if m.calmFor += passed; m.calmFor >= m.hold(m.free) {
 			m.left[m.free] = m.now
 			m.free--
-			m.since, m.calmFor = m.now, 0
+			m.calmFor = 0
 			why = "all was below where it is left for long enough"
 		}
 	default:
@@ -214,7 +224,7 @@
 		if r := &m.ramps[c]; r.on { // out by two levels: from where the ramp is
 			begin = min(m.grown(r), rate)
 		}
-		m.ramps[c] = ramp{on: true, rate: max(begin, 1), at: m.now}
+		m.ramps[c] = ramp{on: true, rate: max(begin, 1), at: m.now, filled: m.now}
 	}
 }
 
@@ -234,13 +244,7 @@
 	if class < 0 || class >= len(m.rates) {
 		return false
 	}
-	passed := m.step(now)
-	for c := range m.ramps { // the clock is one for all
-		if r := &m.ramps[c]; r.on {
-			g := m.grown(r)
-			r.room = min(r.room+g*passed.Seconds(), max(1, g*burst))
-		}
-	}
+	m.step(now)
 	m.rates[class] = m.rates[class]*math.Exp(-float64(m.now-m.seen[class])/float64(arrivalMemory)) + 1
 	m.seen[class] = m.now
 	l := m.Level()
@@ -250,7 +254,9 @@
 		}
 	}()
 	if r := &m.ramps[class]; r.on {
-		if m.grown(r) >= 2*m.rate(class)+1 { // all that comes has long been let in
+		g := m.grown(r)
+		r.room = min(r.room+g*m.since(&r.filled).Seconds(), max(1, g*burst))
+		if g >= 2*m.rate(class)+1 { // all that comes has long been let in
 			r.on = false
 		} else if r.room < 1 {
 			return true
@@ -326,7 +332,7 @@
 // View is the state now.
 func (m *Machine) View() View {
 	l := m.Level()
-	v := View{Level: l.String(), Free: m.free.String(), Since: m.now - m.since, Calm: m.calmFor, Count: m.count, Now: m.now, Cut: make(map[string]string), Turned: make(map[string]uint64)}
+	v := View{Level: l.String(), Free: m.free.String(), Since: m.now - m.began, Calm: m.calmFor, Count: m.count, Now: m.now, Cut: make(map[string]string), Turned: make(map[string]uint64)}
 	if m.pin.on {
 		v.Pinned, v.PinLeft = m.pin.level.String(), max(0, m.pin.until-m.now)
 	}
