--- a/internal/plan/brute_test.go
+++ b/internal/plan/brute_test.go
@@ -14,11 +14,10 @@
 // shares nothing with the linear programme but the fleet: work is one commodity, which
 // flows from classes by pins to nodes, and through their zones.
 type network struct {
-	to, next  []int
-	left      []float64
-	first     []int
-	need, got float64
-	over      []float64 // by vertex, what lower bounds bring in, less what they take out
+	to, next []int
+	left     []float64
+	first    []int
+	over     []float64 // by vertex, what lower bounds bring in, less what they take out
 }
 
 func newNetwork(n int) *network {
