--- a/internal/level/level_test.go
+++ b/internal/level/level_test.go
@@ -358,3 +358,23 @@
 		t.Errorf("%v for a class that is not cut", w)
 	}
 }
+
+// Calm that is broken off begins anew: two halves of a dwell are none.
+func TestBrokenCalm(t *testing.T) {
+	m := made(t, func(c *Config) { c.LeaveAfter = 10 * time.Second })
+	now := time.Duration(0)
+	run := func(d time.Duration, x float64) {
+		for end := now + d; now < end; {
+			now += 100 * time.Millisecond
+			m.Tick(now, late(x))
+		}
+	}
+	run(time.Second, 0.35)
+	for range 5 {
+		run(9*time.Second, 0)
+		run(200*time.Millisecond, 0.2)
+	}
+	if m.Level() != Trimmed {
+		t.Errorf("%v", m.Level())
+	}
+}
