Test that sidecars which are all alone keep to a node's budget of probes

Cause: with watchers by what a sidecar believes in place of the fixed ones no test failed. Change: a test in which 40 sidecars hear nothing for two minutes.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -667,3 +667,21 @@
 		}
 	}
 }
+
+// Sidecars that are all alone take all others for dead in the end: what a node bears from
+// them together stays within its budget all the same.
+func TestAllAlone(t *testing.T) {
+	w := newWorld(7, 40, 20, nil)
+	w.loss = 1
+	w.run(2 * time.Minute)
+	for _, c := range w.cars {
+		if v := c.d.View(); v.Alive > 5 {
+			t.Fatalf("%s takes %d to be alive: the case is not there", c.name, v.Alive)
+		}
+	}
+	mean, most, gap := w.seen(time.Minute, 2*time.Minute)
+	t.Logf("probes a node a second: %.2f in the mean, %d at the most; longest without: %v", mean, most, gap)
+	if mean > w.cfg.PerNode || gap > w.cfg.WatchedGap() {
+		t.Errorf("%v probes a node a second, %v at the most; longest without %v", mean, w.cfg.PerNode, gap)
+	}
+}
