--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -685,3 +685,30 @@
 		t.Errorf("%v probes a node a second, %v at the most; longest without %v", mean, w.cfg.PerNode, gap)
 	}
 }
+
+// A link that is cut between two makes neither suspect the other, as others can ask; and
+// halves that took each other for dead find one another again.
+func TestIndirectAndAgain(t *testing.T) {
+	w := newWorld(8, 10, 5, nil)
+	a, b := w.cars[0], w.cars[1]
+	w.cut = func(x, y *car) bool { return x == a && y == b || x == b && y == a }
+	w.run(time.Minute)
+	for _, c := range []*car{a, b} {
+		if v := c.d.View(); v.Alive != 10 || v.Counts.Suspected > 0 {
+			t.Errorf("%s: %d alive, %d suspicions", c.name, v.Alive, v.Counts.Suspected)
+		}
+	}
+	side := func(c *car) bool { return slices.Index(w.cars, c) < 5 }
+	w.cut = func(x, y *car) bool { return side(x) != side(y) }
+	w.run(3 * time.Minute)
+	if v := a.d.View(); v.Alive != 5 {
+		t.Fatalf("%d alive on one side of a partition", v.Alive)
+	}
+	w.cut = nil
+	w.run(5 * time.Minute)
+	for _, c := range w.cars {
+		if v := c.d.View(); v.Alive != 10 {
+			t.Errorf("%s takes %d to be alive after the partition", c.name, v.Alive)
+		}
+	}
+}
