--- a/balancer.go
+++ b/balancer.go
@@ -451,7 +451,7 @@
 
 // Probed takes the load report that a probe brought.
 func (b *Balancer) Probed(now time.Duration, server string, rep Report) {
-	if s := b.fleet.byName[server]; s != nil {
+	if s := b.fleet.byName[server]; s != nil && now >= s.loadAt { // one that others saw may be old
 		s.heed(rep, now)
 	}
 }
--- a/balancer_attempts_test.go
+++ b/balancer_attempts_test.go
@@ -188,3 +188,18 @@
 		}
 	}
 }
+
+// A load report of a time before the one that is known changes nothing: what others saw
+// comes late.
+func TestOldReport(t *testing.T) {
+	b, err := New(Config{Instances: 1, MaxAttempts: 1, Classes: []Class{{Aim: time.Second}}}, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.ServersListed(0, []Endpoint{{Name: "a"}})
+	b.Probed(10*time.Second, "a", Report{HasInFlight: true, InFlight: 8})
+	b.Probed(9*time.Second, "a", Report{HasInFlight: true})
+	if got := b.ViewServer(10*time.Second, "a", 0).Load; got != 9 {
+		t.Errorf("the load is %v after an older report of none", got)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,7 +129,7 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	srv := front.New(front.Config{MostConns: conns * 2 / 3, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Bodies: frontBodies(c, store), TellConfig: c.store != nil, Choose: routes.chooser()}, host)
-	less, err := newReduced(c, host, srv, pool, conns)
+	less, err := newReduced(c, host, srv, pool, conns*2/3)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/reduced.go
+++ b/internal/daemon/reduced.go
@@ -32,7 +32,7 @@
 	host  *core.Host
 	srv   *front.Server
 	pool  *upstream.Pool
-	conns int // that clients may have
+	conns int // that clients may have, each with one call
 
 	m                 *level.Machine
 	ended, late, full float64
--- a/internal/features/level.go
+++ b/internal/features/level.go
@@ -41,13 +41,13 @@
 func (l *Level) check(c *checker) {
 	c.need(l.EnterAfter >= 0 && l.LeaveAfter >= 0 && l.Proof >= 0, "level.enter_after", ", leave_after and proof must be 0 or more")
 	c.need(l.Slope == 0 || l.Slope > 1 && l.Slope <= 4, "level.slope", "must be above 1, 4 at most")
-	c.need(l.Doublings >= -1 && l.Doublings <= 10, "level.doublings", "must be within 0 and 10")
+	c.need(l.Doublings >= 0 && l.Doublings <= 10, "level.doublings", "must be within 0 and 10")
 	c.need(l.Evidence >= 0, "level.evidence", "must be 0 or more")
 	for name, at := range l.levels() {
-		for _, all := range []map[string]float64{at.Enter, at.Leave} {
+		for field, all := range map[string]map[string]float64{"enter.": at.Enter, "leave.": at.Leave} {
 			for s, x := range all {
-				c.need(levelWords[s], "level."+name+"."+s, "there is no such sensor")
-				c.need(x >= 0, "level."+name+"."+s, "must be 0 or more")
+				c.need(levelWords[s], "level."+name+"."+field+s, "there is no such sensor")
+				c.need(x >= 0, "level."+name+"."+field+s, "must be 0 or more")
 			}
 		}
 		for class, x := range at.Cut {
