Notes that are held up or sent again show nothing as just seen

Cause, found on a second reading: the hard case of late notes was not handled. A finding's age was counted from its note's arrival, so one held up for ten seconds, or an old one sent again, kept others from taking over.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -26,6 +26,10 @@
 	at   time.Duration // when it became what it is
 	told int           // how often this news may still be told
 	sign time.Duration // when it last gave a sign by itself
+	// ahead is by how much this sidecar's clock is ahead of the peer's, and the least time
+	// that a note took, in milliseconds, as the quickest of its start's notes showed.
+	ahead uint32
+	heard bool
 }
 
 type node struct {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -30,6 +30,9 @@
 	loss   float64
 	cut    func(from, to *car) bool // nil: nobody is
 
+	late    time.Duration              // that all notes are held up
+	again   bool                       // notes of before come again and again
+	old     [][2]any                   // these, with whom they were for
 	probes  map[string][]time.Duration // at each node
 	perCar  int
 	notes   int
@@ -161,21 +164,29 @@
 			if w.rng.Float64() < w.loss || w.cut != nil && w.cut(c, to) {
 				continue
 			}
-			delay := 1400*time.Microsecond + time.Duration(w.rng.Int64N(int64(32*time.Millisecond))) // out of order too
-			w.after(delay, func() {
-				if to.dead {
-					return
-				}
-				n, err := Parse(b, nil)
-				if err != nil {
-					panic(err)
-				}
-				w.carry(to, to.d.Receive(w.now+to.offset, n))
-			})
+			delay := w.late + 1400*time.Microsecond + time.Duration(w.rng.Int64N(int64(32*time.Millisecond))) // out of order too
+			if len(w.old) < 2000 {
+				w.old = append(w.old, [2]any{to, b})
+			} else if w.again {
+				o := w.old[w.rng.IntN(len(w.old))]
+				w.after(delay, func() { w.deliver(o[0].(*car), o[1].([]byte)) })
+			}
+			w.after(delay, func() { w.deliver(to, b) })
 		}
 	}
 }
 
+func (w *world) deliver(to *car, b []byte) {
+	if to.dead {
+		return
+	}
+	n, err := Parse(b, nil)
+	if err != nil {
+		panic(err)
+	}
+	w.carry(to, to.d.Receive(w.now+to.offset, n))
+}
+
 // seen is, within a time: probes a node and second in the mean, the most that one node got
 // in a second, and the longest that one went without.
 func (w *world) seen(from, to time.Duration) (mean float64, most int, gap time.Duration) {
@@ -269,6 +280,9 @@
 				}
 			}
 		}, lost, 8},
+		{"notes held up for 10 s", 40, 40, func(w *world) { w.late = 10 * time.Second }, watched, 12},
+		{"half killed, notes held up for 10 s", 40, 40, func(w *world) { kill(w, 20); w.late = 10 * time.Second }, cfg.TakeoverGap(40, 1), 12},
+		{"half killed, old notes come again", 40, 40, func(w *world) { kill(w, 20); w.again = true }, lost, 8},
 		{"a clock that steps", 40, 40, func(w *world) { w.cars[0].offset += time.Hour }, lost, 8},
 		{"210 sidecars", 210, 100, nil, watched, 4},
 		{"210 sidecars, half killed", 210, 100, func(w *world) { kill(w, 105) }, cfg.TakeoverGap(210, 105), 10},
@@ -521,6 +535,40 @@
 	}
 }
 
+// A note that took longer than the quickest of its sender's is as much older, and so is the
+// sign of life that it is; a later start begins anew. Clocks may differ by any amount.
+func TestLateNote(t *testing.T) {
+	cfg := Default()
+	cfg.Self, cfg.Peers = "a", []Peer{{"b", ""}}
+	d, _ := New(cfg)
+	const hour = time.Hour
+	d.Nodes(hour, []Node{{"n", ""}})
+	b := IDOf("b")
+	note := func(now, sent time.Duration, inc uint64, age time.Duration) time.Duration {
+		d.Receive(now, &Note{From: b, Inc: inc, Sent: millis(sent), Found: []Found{{IDOf("n"), Answering, age}}})
+		_, known, _, _ := d.Known("n")
+		return known
+	}
+	for n, c := range []struct {
+		now, sent       time.Duration
+		inc             uint64
+		age, want, sign time.Duration
+	}{
+		{hour, 7 * time.Second, 1, time.Second, time.Second, hour},                                                                 // the first says nothing of its way
+		{hour + 2*time.Second, 9100 * time.Millisecond, 1, time.Second, time.Second, hour + 2*time.Second},                         // a quicker one
+		{hour + 6*time.Second, 10 * time.Second, 1, 200 * time.Millisecond, 3300 * time.Millisecond, hour + 2900*time.Millisecond}, // 3.1 s late
+		{hour + 6*time.Second, 7 * time.Second, 1, 0, 3300 * time.Millisecond, hour + 2900*time.Millisecond},                       // an old one, again
+		{hour + 7*time.Second, 100 * time.Millisecond, 2, time.Second, time.Second, hour + 7*time.Second},                          // a later start
+	} {
+		if got := note(c.now, c.sent, c.inc, c.age); got != c.want {
+			t.Errorf("note %d: what it tells is %v old, want %v", n, got, c.want)
+		}
+		if got := d.byID[b].sign; got != c.sign {
+			t.Errorf("note %d: the last sign of life is of %v, want %v", n, got, c.sign)
+		}
+	}
+}
+
 // Findings of nodes that the own list does not name are left, and none is younger than it
 // was told.
 func TestFindings(t *testing.T) {
--- a/internal/duty/note.go
+++ b/internal/duty/note.go
@@ -22,7 +22,7 @@
 
 const (
 	noteVersion = 1
-	headLen     = 1 + 1 + 4 + 8 + 4 + 4 + 1 + 1
+	headLen     = 1 + 1 + 4 + 8 + 4 + 4 + 4 + 1 + 1
 	newsLen     = 4 + 8 + 1
 	foundLen    = 4 + 2
 	tagLen      = 12
@@ -104,6 +104,7 @@
 	Inc   uint64 // of its sender: grows with each start, and to refute suspicion
 	Seq   uint32 // of a Ping, and of its Ack
 	Whom  ID     // of Ask, and of an Ack for somebody else; 0: nobody
+	Sent  uint32 // when, in milliseconds of its sender's own clock, which wraps
 	News  []News
 	Found []Found
 }
@@ -134,6 +135,7 @@
 	b = binary.BigEndian.AppendUint64(b, n.Inc)
 	b = binary.BigEndian.AppendUint32(b, n.Seq)
 	b = binary.BigEndian.AppendUint32(b, uint32(n.Whom))
+	b = binary.BigEndian.AppendUint32(b, n.Sent)
 	b = append(b, byte(len(news)), byte(len(found)))
 	for _, w := range news {
 		b = binary.BigEndian.AppendUint32(b, uint32(w.Who))
@@ -172,8 +174,8 @@
 	if b[0] != noteVersion || b[1] >= byte(kinds) {
 		return nil, ErrNote
 	}
-	n := &Note{Kind: Kind(b[1]), From: ID(binary.BigEndian.Uint32(b[2:])), Inc: binary.BigEndian.Uint64(b[6:]), Seq: binary.BigEndian.Uint32(b[14:]), Whom: ID(binary.BigEndian.Uint32(b[18:]))}
-	news, found := int(b[22]), int(b[23])
+	n := &Note{Kind: Kind(b[1]), From: ID(binary.BigEndian.Uint32(b[2:])), Inc: binary.BigEndian.Uint64(b[6:]), Seq: binary.BigEndian.Uint32(b[14:]), Whom: ID(binary.BigEndian.Uint32(b[18:])), Sent: binary.BigEndian.Uint32(b[22:])}
+	news, found := int(b[26]), int(b[27])
 	if news > newsMost || len(b) != headLen+news*newsLen+found*foundLen {
 		return nil, ErrNote
 	}
--- a/internal/duty/signs.go
+++ b/internal/duty/signs.go
@@ -94,7 +94,7 @@
 		d.counts.Unsent++
 		return
 	}
-	n.From, n.Inc = d.self, d.inc
+	n.From, n.Inc, n.Sent = d.self, d.inc, millis(d.now)
 	// What is said of the one it goes to, first: it alone can refute it.
 	if to.life == Suspect || to.life == Dead {
 		n.News = append(n.News, News{to.id, to.inc, to.life})
@@ -177,6 +177,19 @@
 	}
 }
 
+func millis(t time.Duration) uint32 { return uint32(t / time.Millisecond) }
+
+// late is by how much longer than the quickest a note was on its way. Guards against notes
+// that are held up or sent again by the network: what they tell as just seen is not.
+func (d *Duty) late(p *peer, n *Note) time.Duration {
+	ahead := millis(d.now) - n.Sent
+	if by := int32(ahead - p.ahead); p.heard && n.Inc <= p.inc && by >= 0 {
+		return time.Duration(by) * time.Millisecond
+	}
+	p.ahead, p.heard = ahead, true
+	return 0
+}
+
 // Receive takes a note. What it says of peers that this sidecar was not told of, and of
 // nodes that its own list does not name, is left.
 func (d *Duty) Receive(now time.Duration, n *Note) (out Out) {
@@ -187,19 +200,19 @@
 		return out
 	}
 	d.counts.Heard++
+	late := d.late(p, n)
 	// A sign of life, unless it is of a start before the one that is known.
 	if n.Inc >= p.inc {
-		p.sign = now
-		if n.Inc > p.inc || p.life == Alive {
-			if n.Inc > p.inc || p.life != Alive {
-				d.become(p, n.Inc, Alive)
-			}
+		p.sign = max(p.sign, now-late)
+		if n.Inc > p.inc {
+			d.become(p, n.Inc, Alive)
 		}
 	}
 	for _, w := range n.News {
 		d.hear(w)
 	}
 	for _, f := range n.Found {
+		f.Age += late
 		d.take(f)
 	}
 	switch n.Kind {
