A change sees settings that may be left out as they are, and a route's weaker class

Cause, found on a second reading: pointers of [level] were compared by address, so the same file twice was a change that takes a start; a route's class could weaken from activate in a change and was not refused; a plan read once more had its hold again; a search left at its time lost what it had found, and exit status 1 stood for two things; probes of duties were not counted against the sockets. Change: each mended, with its test but for the sockets.

--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -151,6 +151,9 @@
 		case errors.Is(err, errShort):
 			fmt.Fprintln(s.err, "fawnctl:", err)
 			return 1
+		case errors.Is(err, errLeft):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 4
 		case errors.Is(err, errContradictory):
 			fmt.Fprintln(s.err, "fawnctl:", err)
 			return 2
--- a/cmd/fawnctl/plan.go
+++ b/cmd/fawnctl/plan.go
@@ -45,6 +45,7 @@
 var (
 	errShort         = errors.New("not all can be served")
 	errContradictory = errors.New("the limits contradict each other")
+	errLeft          = errors.New("left before an answer was found") // 4
 )
 
 func readFleet(path string) (*plan.Fleet, error) {
@@ -183,7 +184,7 @@
 	p, err := plan.Solve(f, o)
 	took := time.Since(began)
 	if errors.Is(err, plan.ErrLeft) {
-		return fmt.Errorf("%w: after %s: give it more --time", err, took.Round(time.Millisecond))
+		return fmt.Errorf("%w: after %s: give it more --time", errLeft, took.Round(time.Millisecond))
 	}
 	if err != nil {
 		return err
--- a/cmd/fawnctl/plan_test.go
+++ b/cmd/fawnctl/plan_test.go
@@ -59,6 +59,7 @@
 		{file("broken.toml", "[limits]", "[limits"), 3, "", "broken.toml"},
 		{filepath.Join(dir, "none.toml"), 3, "", "none.toml"},
 		{fleet + " --weights " + out, 3, "", "--key"},
+		{fleet + " --time 0s", 4, "", "--time"},
 	} {
 		c.try(t, "plan")
 	}
--- a/internal/change/change_test.go
+++ b/internal/change/change_test.go
@@ -38,6 +38,16 @@
 auth = "127.0.0.1:1"
 acct = "127.0.0.1:2"
 secret = "the server's secret"
+[level]
+enabled = true
+[level.trimmed]
+retry_worth = 4.0
+no_copies = true
+cut = { check = 0.4 }
+[[routes]]
+name = "shopping"
+prefixes = ["/shop"]
+class = "activate"
 `
 
 func document(t testing.TB, platform, own string) Document {
@@ -92,6 +102,7 @@
 		{"fewer sockets than in use", `"sockets":1024`, `"sockets":64`, false, "limits.sockets", false},
 		{"a path of activate as a check", `"/sim.v1/Activate" = "activate"`, `"/sim.v1/Activate" = "check"`, true, "features.paths[/sim.v1/Activate]", false},
 		{"a path under activate as a check", "[paths]\n", "[paths]\n\"/activate/fast\" = \"check\"\n", true, "features.paths[/activate/fast]", false},
+		{"a route of activate as a check", "class = \"activate\"\n", "class = \"check\"\n", true, "features.routes[shopping].class", false},
 		{"access asked twice", `effect = "once"`, `effect = "safe"`, true, "features.radius.access.effect", false},
 		{"identifiers rest too little", "[radius]\n", "[radius]\nrest = \"1s\"\n[radius.access2]\n", true, "features.radius.rest", false},
 		{"events forgotten early", "[radius]\n", "[radius]\nremember_for = \"5s\"\n", true, "features.radius.remember_for", false},
@@ -176,7 +187,7 @@
 	if p, err := Compare(running, once, Use{}); err != nil || len(p.Changes) != 3 || len(p.Refusals) > 0 {
 		t.Errorf("%+v, %v", p, err)
 	}
-	if p, err := Compare(running, running, Use{}); err != nil || len(p.Changes) > 0 || len(p.Refusals) > 0 {
+	if p, err := Compare(running, document(t, platform, own), Use{}); err != nil || len(p.Changes) > 0 || len(p.Refusals) > 0 {
 		t.Errorf("%+v, %v", p, err)
 	}
 	if _, err := Compare(running, Document{Platform: []byte("{")}, Use{}); err == nil {
--- a/internal/change/document.go
+++ b/internal/change/document.go
@@ -108,6 +108,10 @@
 		return
 	}
 	switch v.Kind() {
+	case reflect.Pointer: // a setting that may be left out
+		if !v.IsNil() {
+			f.toml(path, v.Elem())
+		}
 	case reflect.Struct:
 		for n := range v.NumField() {
 			if name, _, _ := strings.Cut(v.Type().Field(n).Tag.Get("toml"), ","); name != "" {
--- a/internal/change/rules.go
+++ b/internal/change/rules.go
@@ -149,11 +149,12 @@
 				w.new = value{text: first}
 			}
 		}
-		if known(w.was, w.old.text) && known(w.is, w.new.text) && effectRank(w.is, w.new.text) > effectRank(w.was, w.old.text) {
-			return fmt.Sprintf("calls of %s that ran once could run twice as %s", w.old.text, w.new.text)
-		}
-		return ""
+		return weaker(w)
 	}},
+	{func(path string) bool {
+		_, rest, ok := between(path, "features.routes")
+		return ok && rest == ".class"
+	}, weaker},
 	{field("features.radius.access.effect"), inOrder("access that was asked once could be asked twice", "once", "safe")},
 	{field("features.radius.rest"), func(w *way) string {
 		if patience := max(w.was["features.radius.access.patience"].number(), 0); w.new.number() < w.old.number() && w.new.number() < patience {
@@ -185,6 +186,15 @@
 	}},
 }
 
+// weaker refuses a class in another's place whose calls may be repeated where the other's
+// may not.
+func weaker(w *way) string {
+	if known(w.was, w.old.text) && known(w.is, w.new.text) && effectRank(w.is, w.new.text) > effectRank(w.was, w.old.text) {
+		return fmt.Sprintf("calls of %s that ran once could run twice as %s", w.old.text, w.new.text)
+	}
+	return ""
+}
+
 func unsigned(w *way) string {
 	if w.new.text == "true" {
 		return "packets that were vouched for could be forged (CVE-2024-3596)"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	conns := c.sockets - socketsSpare - connectionsOf(c)
+	conns := c.sockets - socketsSpare - connectionsOf(c) - dutyConns(c)
 	if store != nil {
 		defer store.Close()
 		conns -= filesOf(c)
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -30,6 +30,15 @@
 // node's state than answers and loads.
 var dutyLoad = map[duty.State]float64{duty.Answering: 0, duty.Slow: 3, duty.Refusing: 8, duty.Silent: 8}
 
+// dutyConns are the descriptors that duties may hold: probes, their idle connections, and
+// the socket for notes.
+func dutyConns(c *Config) int {
+	if !c.Features.Duty.Enabled {
+		return 0
+	}
+	return 2*probesOut + 1
+}
+
 // duties is the host of a duty.Duty: its socket, its probes and its clock.
 type duties struct {
 	host  *core.Host
--- a/internal/plan/loss.go
+++ b/internal/plan/loss.go
@@ -188,6 +188,9 @@
 			return count, s, weak, nil
 		}
 		next, search, err := m.place(false, stop, progress)
+		if search.Left && err == nil {
+			err = ErrLeft
+		}
 		if err != nil || next == nil {
 			return nil, search, weak, err
 		}
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -402,3 +402,46 @@
 		}
 	}
 }
+
+// A search that is ended at any point has no answer yet, or the best found with a gap that
+// is true: the optimum lies between its bound and it, and it keeps all limits.
+func TestLeft(t *testing.T) {
+	rng := rand.New(rand.NewPCG(21, 1))
+	none, some := 0, 0
+	for n := range 300 {
+		f := fleetOf(rng, false)
+		f.Choose = true
+		if f.Validate() != nil {
+			continue
+		}
+		whole, err := Solve(f, Options{Robust: n%2 == 0})
+		if err != nil || whole.Status == Contradictory {
+			continue
+		}
+		for k := range 12 {
+			asked := 0
+			p, err := Solve(f, Options{Robust: n%2 == 0, Losses: true, Stop: func() bool { asked++; return asked > k*3 }})
+			if errors.Is(err, ErrLeft) {
+				none++
+				continue
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !p.Search.Left {
+				break
+			}
+			some++
+			best, bound := p.Search.Best, p.Search.Bound
+			if n%2 != 0 && (lexical(whole.Search.Best, best) > 0 || bound != nil && lexical(bound, whole.Search.Best) > 0) {
+				t.Fatalf("fleet %d, left after %d: best %v, bound %v, and the optimum is %v", n, k*3, best, bound, whole.Search.Best)
+			}
+			if used := len(slices.DeleteFunc(slices.Clone(p.Nodes), func(d NodePlan) bool { return !d.Used })); f.Limits.MostNodes > 0 && used > f.Limits.MostNodes {
+				t.Fatalf("fleet %d: %d nodes in use", n, used)
+			}
+		}
+	}
+	if none < 50 || some < 20 {
+		t.Errorf("%d without an answer, %d with the best found: the sample says too little", none, some)
+	}
+}
--- a/internal/plan/solve.go
+++ b/internal/plan/solve.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -108,6 +109,11 @@
 		if used, err = p.choose(f, o); err != nil {
 			return nil, err
 		}
+		if p.Search.Left {
+			// What was found is told whole: a split takes one programme, and its steps are
+			// bounded.
+			o.Stop, o.Losses, o.Gains = nil, false, false
+		}
 	}
 	if err := p.split(used, o); err != nil {
 		return nil, err
@@ -136,11 +142,14 @@
 	p.Search = &search
 	if o.Robust {
 		with, mended, weak, err := m.bear(count[:len(m.groups)], o.Stop, o.Progress)
-		if err != nil {
-			return nil, err
-		}
 		p.Robust = &Robust{Without: m.priceOf(count), Weak: weak}
-		if with == nil {
+		switch {
+		case errors.Is(err, ErrLeft):
+			p.Robust.Weak = append(p.Robust.Weak, "the search was left before a choice was found that bears the losses")
+			p.Search.Left, with = true, count
+		case err != nil:
+			return nil, err
+		case with == nil:
 			p.Robust.Weak = append(p.Robust.Weak, "no choice within the limits bears what all nodes together would")
 			with = count
 		}
--- a/internal/weights/hold.go
+++ b/internal/weights/hold.go
@@ -98,8 +98,13 @@
 // Take puts a plan in the place of the one there was, or nil for none. Hints go there by
 // steps, from where they are. An older plan than the one there is, is not taken.
 func (h *Holder) Take(p *Plan) (taken bool) {
-	if p != nil && h.plan != nil && p.Made.Before(h.plan.Made) {
-		return false
+	if p != nil && h.plan != nil {
+		if p.Made.Before(h.plan.Made) {
+			return false
+		}
+		if p.Made.Equal(h.plan.Made) { // read once more: what measurements took stays taken
+			return true
+		}
 	}
 	h.plan, h.prior, h.down, h.falls, h.bad, h.good = p, nil, 0, 0, 0, 0
 	if p == nil {
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -142,6 +142,10 @@
 	if h.View().Hold != 0 {
 		t.Error("a plan without hold has it again, though nothing speaks for it")
 	}
+	h.Take(planOf(noon, w))
+	if h.Tick(noon, mixed(0, 1)); h.View().Hold != 0 {
+		t.Error("a plan that is read once more has its hold again")
+	}
 	if h.Take(planOf(noon.Add(-time.Second), w)) {
 		t.Error("an older plan is taken")
 	}
