Tests of five handlings that could be taken out unnoticed; a reason is said once

Cause: taken out one by one, the guard of a search that is left while it mends for losses, its gap, forgetting servers that have gone, a server without maxconn, and telling those in a line at SIGTERM were noticed by no test. Change: a test for each; an imported server's verdict says the same reason once. Measured: each test fails without its handling.

--- a/cmd/fawnctl/import_test.go
+++ b/cmd/fawnctl/import_test.go
@@ -343,6 +343,9 @@
 	server a A maxqueue 7
 	server b B maxconn 6
 	server c C backup
+backend one_is_open
+	server d D
+	server c C maxconn 0
 `, exit: 1, asks: []askedOf{{"x", "GET", "/", "", 200, "a b", 1, ""}},
 		says: []string{"carried with a difference|timeout queue", "carried with a difference|server a"}},
 	{name: "two frontends", text: `
--- a/internal/daemon/pools_test.go
+++ b/internal/daemon/pools_test.go
@@ -78,6 +78,32 @@
 	if n := opened.Load(); n != 2 || len(how) != 3 {
 		t.Errorf("%d connections, %d of 5 calls ended at once", n, len(how))
 	}
+	// What waits in a line is told at once, however long the rest may take.
+	p.write(t, 5, fmt.Sprintf("[[pools]]\nname = \"q\"\nmax_active = 1\nmax_waiting = 5\nqueue_wait = \"1h\"\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
+	line, err := newRouting(p.load(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer line.close()
+	told := make(chan string, 10)
+	for n := range 3 {
+		line.pools["q"].handler().Arrive(&core.Call{ID: fmt.Sprint("l", n), Class: "activate", Wait: time.Hour, Received: time.Now(), Caller: ended{how: told},
+			Payload: &message.Request{Method: "POST", Head: []byte("POST /activate HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n")}})
+	}
+	if v := line.pools["q"].status().Queue; v.Active != 1 || v.Waiting != 2 {
+		t.Errorf("the line: %+v", v)
+	}
+	line.quitAt(time.Hour)
+	for range 2 {
+		select {
+		case s := <-told:
+			if s != "refused" {
+				t.Errorf("one that waits at SIGTERM is %s", s)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("one that waits at SIGTERM is not told")
+		}
+	}
 	r.quitAt(10 * time.Millisecond)
 	for n := range 5 {
 		select {
--- a/internal/daemon/weighted_test.go
+++ b/internal/daemon/weighted_test.go
@@ -75,5 +75,12 @@
 	if v := w.view(); v.Why != weights.Over || v.Hold != 0 {
 		t.Errorf("%+v", v)
 	}
+	gone := list.Entries[0]
+	gone.State = chalkrack.Gone
+	w.listed(&membership.List{Entries: []membership.Entry{gone}})
+	w.tick(now)
+	if len(w.entries) != 1 || len(w.view().Hints) != 1 {
+		t.Errorf("of a server that has gone %d entries, %d hints are left", len(w.entries), len(w.view().Hints))
+	}
 	(*weighted)(nil).reload() // off
 }
--- a/internal/haproxy/translate/translate.go
+++ b/internal/haproxy/translate/translate.go
@@ -340,7 +340,10 @@
 	}
 	v, why, checked := Carried, "", false
 	differs := func(text string) {
-		if v = Different; why != "" {
+		if v = Different; strings.Contains(why, text) {
+			return // of a default and of the server's own
+		}
+		if why != "" {
 			why += "; "
 		}
 		why += text
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -408,7 +408,11 @@
 func TestLeft(t *testing.T) {
 	rng := rand.New(rand.NewPCG(21, 1))
 	none, some := 0, 0
-	for n := range 300 {
+	cases := 80
+	if racing.On {
+		cases = 16
+	}
+	for n := range cases {
 		f := fleetOf(rng, false)
 		f.Choose = true
 		if f.Validate() != nil {
@@ -418,9 +422,9 @@
 		if err != nil || whole.Status == Contradictory {
 			continue
 		}
-		for k := range 12 {
+		for k := range 150 {
 			asked := 0
-			p, err := Solve(f, Options{Robust: n%2 == 0, Losses: true, Stop: func() bool { asked++; return asked > k*3 }})
+			p, err := Solve(f, Options{Robust: n%2 == 0, Losses: true, Stop: func() bool { asked++; return asked > k }})
 			if errors.Is(err, ErrLeft) {
 				none++
 				continue
@@ -428,20 +432,27 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			const never = "no choice within the limits bears what all nodes together would"
+			if p.Robust != nil && slices.Contains(p.Robust.Weak, never) && !slices.Contains(whole.Robust.Weak, never) {
+				t.Fatalf("fleet %d, left after %d: it says that there is no choice: %q", n, k, p.Robust.Weak)
+			}
 			if !p.Search.Left {
 				break
 			}
 			some++
 			best, bound := p.Search.Best, p.Search.Bound
 			if n%2 != 0 && (lexical(whole.Search.Best, best) > 0 || bound != nil && lexical(bound, whole.Search.Best) > 0) {
-				t.Fatalf("fleet %d, left after %d: best %v, bound %v, and the optimum is %v", n, k*3, best, bound, whole.Search.Best)
+				t.Fatalf("fleet %d, left after %d: best %v, bound %v, and the optimum is %v", n, k, best, bound, whole.Search.Best)
+			}
+			if n%2 != 0 && bound != nil && (lexical(bound, best) < 0) != (p.Search.Gap > 0) {
+				t.Fatalf("fleet %d: best %v, bound %v, gap %v", n, best, bound, p.Search.Gap)
 			}
 			if used := len(slices.DeleteFunc(slices.Clone(p.Nodes), func(d NodePlan) bool { return !d.Used })); f.Limits.MostNodes > 0 && used > f.Limits.MostNodes {
 				t.Fatalf("fleet %d: %d nodes in use", n, used)
 			}
 		}
 	}
-	if none < 50 || some < 20 {
+	if none < cases || some < cases/4 {
 		t.Errorf("%d without an answer, %d with the best found: the sample says too little", none, some)
 	}
 }
