A plan is told whole when its time ends behind the choice of nodes

Change: the split of a choice runs to its end, gains and losses that are not worked out are named, and more time never means no answer.

--- a/cmd/fawnctl/plan.go
+++ b/cmd/fawnctl/plan.go
@@ -265,6 +265,9 @@
 		}
 		fmt.Fprintf(w, "without\t%s: %s\n", l.What, verdict)
 	}
+	if len(p.Left) > 0 {
+		fmt.Fprintf(w, "left\t%s: there was no --time for the rest\n", strings.Join(p.Left, ", "))
+	}
 	if r := p.Robust; r != nil {
 		fmt.Fprintf(w, "robust\t%.4g an hour, %.4g without\n", r.With, r.Without)
 		for _, l := range r.Weak {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -422,23 +422,31 @@
 		if err != nil || whole.Status == Contradictory {
 			continue
 		}
+		answered := false
 		for k := range 150 {
 			asked := 0
 			p, err := Solve(f, Options{Robust: n%2 == 0, Losses: true, Stop: func() bool { asked++; return asked > k }})
 			if errors.Is(err, ErrLeft) {
+				if answered {
+					t.Fatalf("fleet %d: no answer with more time than one took", n)
+				}
 				none++
 				continue
 			}
 			if err != nil {
 				t.Fatal(err)
 			}
+			answered = true
 			const never = "no choice within the limits bears what all nodes together would"
 			if p.Robust != nil && slices.Contains(p.Robust.Weak, never) && !slices.Contains(whole.Robust.Weak, never) {
 				t.Fatalf("fleet %d, left after %d: it says that there is no choice: %q", n, k, p.Robust.Weak)
 			}
-			if !p.Search.Left {
+			if !p.Search.Left && len(p.Left) == 0 {
 				break
 			}
+			if !p.Search.Left {
+				continue
+			}
 			some++
 			best, bound := p.Search.Best, p.Search.Bound
 			if n%2 != 0 && (lexical(whole.Search.Best, best) > 0 || bound != nil && lexical(bound, whole.Search.Best) > 0) {
--- a/internal/plan/solve.go
+++ b/internal/plan/solve.go
@@ -43,7 +43,8 @@
 	Gains    []Gain             `json:"gains,omitempty"`
 	Losses   []Loss             `json:"losses,omitempty"`
 	Nodes    []NodePlan         `json:"nodes"`
-	Crossing float64            `json:"crossing"` // share of the work that leaves its zone
+	Crossing float64            `json:"crossing"`       // share of the work that leaves its zone
+	Left     []string           `json:"left,omitempty"` // parts that were not worked out to their end
 
 	Search *Search `json:"search,omitempty"`
 	// Robust says what bearing losses costs: the price an hour beside the plan without,
@@ -109,26 +110,38 @@
 		if used, err = p.choose(f, o); err != nil {
 			return nil, err
 		}
-		if p.Search.Left {
-			// What was found is told whole: a split takes one programme, and its steps are
-			// bounded.
-			o.Stop, o.Losses, o.Gains = nil, false, false
-		}
 	}
-	if err := p.split(used, o); err != nil {
+	// What was chosen is told whole: its split is a few programmes of bounded steps.
+	whole := o
+	if f.Choose {
+		whole.Stop = nil
+	}
+	if err := p.split(used, whole); err != nil {
 		return nil, err
 	}
+	// What comes on top may be left for want of time, and is said to be.
 	if p.Status == Short {
-		if err := p.shortage(used, o); err != nil {
+		if err := p.without("shortage", p.shortage(used, o)); err != nil {
 			return nil, err
 		}
 	}
 	if o.Losses {
-		return p, p.hold(used, o)
+		if err := p.without("losses", p.hold(used, o)); err != nil {
+			return nil, err
+		}
 	}
 	return p, nil
 }
 
+// without notes a part that was left for want of time.
+func (p *Plan) without(part string, err error) error {
+	if errors.Is(err, ErrLeft) {
+		p.Left = append(p.Left, part)
+		return nil
+	}
+	return err
+}
+
 // choose finds the nodes in use and returns the fleet of these alone.
 func (p *Plan) choose(f *Fleet, o Options) (*Fleet, error) {
 	m := newModel(f, nil, false)
@@ -340,7 +353,10 @@
 		return nil
 	}
 	values, sol, _, err := lexicographic(m.p, all, o.Stop)
-	if err != nil || sol.Status != simplex.Optimal {
+	if err == nil && sol.Status != simplex.Optimal {
+		err = ErrLeft
+	}
+	if err != nil {
 		return err
 	}
 	binding := make(map[limit]bool)
@@ -384,7 +400,10 @@
 		more.Nodes = append(slices.Clone(used.Nodes), d)
 		mm := newModel(&more, nil, false)
 		again, sol2, _, err := lexicographic(mm.p, mm.aims()[worth:worth+1], o.Stop)
-		if err != nil || sol2.Status != simplex.Optimal {
+		if err == nil && sol2.Status != simplex.Optimal {
+			err = ErrLeft
+		}
+		if err != nil {
 			return err
 		}
 		p.Gains = append(p.Gains, Gain{Kind: g.kind, Zone: m.zones[g.zone], Dual: -sol.Dual[m.rowOf[n]] * g.each, Again: values[0] - again[0]})
