Management address: figures, servers out by hand, drain, and a socket that is inherited

Management (internal/management): a line to a connection, its own listener, places and descriptors; whoever says nothing makes way. Not taken: pages of the operators' socket over HTTP, which costs a parser and keeps connections, and is a Unix socket.

Figures (internal/figures): a request is counted where its answer is written, the one place that every way ends in; an attempt where its last byte went out. Atomics, so that reading waits for nobody. Not taken: counting in the core, which sees no answer go out.

Out by hand (internal/maintenance): an overlay over the list of servers, which turns one that is out into one that drains and one called back into one that has just started. The decision module and the pool need no line for it. Not taken: a further state in the module, which is full, and would need its own rule for each way of sending.

Drain (internal/drain): answers end connections for 0.9 s, then what idles is ended by its own goroutine, which first looks whether something has come. Not taken: closing idle connections at once, as at SIGTERM, over requests that cross.

Inherited socket: taken from only when this process can serve; at SIGTERM the old one stops at once and ends connections as in a drain. Not taken: SO_REUSEPORT, which gives each process a queue of its own that is lost with it.

--- a/explain.go
+++ b/explain.go
@@ -55,3 +55,13 @@
 	return StateView{Level: b.admit.faded(now), Retries: b.retries, Hedges: b.reissue.tokens, Delay: b.reissue.d,
 		Members: len(b.fleet.members), Set: len(b.fleet.set), Ejected: len(b.fleet.ejected), Rate: b.fleet.rate(now)}
 }
+
+// Ejected is how many of the servers that serve get no requests now, for they failed.
+func (b *Balancer) Ejected(now time.Duration) (n int) {
+	for _, s := range b.fleet.members {
+		if now < s.out.until {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -324,6 +324,13 @@
 	})
 }
 
+// Ejected is the number of listed servers that get no calls by choice.
+func (h *Host) Ejected() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.b.Ejected(h.now())
+}
+
 // Close ends all that is still held, as failed, and the timer. Calls that arrive later
 // are refused.
 func (h *Host) Close() {
--- a/internal/daemon/change.go
+++ b/internal/daemon/change.go
@@ -17,6 +17,7 @@
 	"chalkrack/internal/change"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
+	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
 	"chalkrack/internal/generation"
 	"chalkrack/internal/history"
@@ -95,6 +96,7 @@
 	took    []time.Duration
 	trials  uint64
 
+	fig     *figures.Figures // nil: nobody counts
 	asks    chan asked
 	done    chan struct{}
 	closing sync.Once
@@ -412,6 +414,7 @@
 		next, err = parse(platform, own, name, getenv)
 	}
 	if err != nil {
+		g.fig.Read(false)
 		slog.Error("new configuration not taken: the old one stays in force", "err", err)
 		return
 	}
@@ -422,9 +425,10 @@
 	}
 	if !g.on() {
 		g.tell(next)
-	} else if err := g.reloadChange(next); err != nil {
+	} else if err = g.reloadChange(next); err != nil {
 		slog.Error("new configuration not taken: the old one stays in force", "err", err)
 	}
+	g.fig.Read(err == nil)
 	slog.Info("configuration read again", "discovery", g.c.discovery)
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -21,6 +21,8 @@
 type Config struct {
 	Features *features.File
 	Disk     spool.FS // where files of bodies are made; nil: the system's
+	// Managed is told where operators call, before the daemon serves; nil: nobody is.
+	Managed func(net.Addr)
 
 	listen, discovery string
 	seed              uint64
@@ -32,6 +34,8 @@
 	platform          []byte // the file, as read
 	own               []byte // the operators' file, as read; empty: none
 	getenv            func(string) string
+	management        string // where operators call; empty: nowhere
+	inherited         int    // the descriptor of the clients' listening socket; 0: none
 
 	// Of Recall:
 	store   *history.Store // nil: not yet
@@ -139,6 +143,7 @@
 func parsePlatform(data []byte, getenv func(string) string) (*Config, error) {
 	var raw struct {
 		Listen, Discovery string
+		Management        string
 		Seed              string
 		Limits            struct {
 			Cores    float64
@@ -155,9 +160,11 @@
 		platform:  data,
 		listen:    raw.Listen,
 		discovery: raw.Discovery,
-		cores:     raw.Limits.Cores,
-		memoryMB:  int(raw.Limits.MemoryMB),
-		sockets:   int(raw.Limits.Sockets),
+
+		management: raw.Management,
+		cores:      raw.Limits.Cores,
+		memoryMB:   int(raw.Limits.MemoryMB),
+		sockets:    int(raw.Limits.Sockets),
 	}
 	if v := getenv("BALANCER_LISTEN"); v != "" {
 		c.listen = v
@@ -165,6 +172,21 @@
 	if v := getenv("BALANCER_DISCOVERY"); v != "" {
 		c.discovery = v
 	}
+	if v := getenv("BALANCER_MANAGEMENT"); v != "" {
+		c.management = v
+	}
+	if c.management != "" {
+		if err := checkAddress(c.management, 0); err != nil {
+			return nil, fmt.Errorf("config: management: %w", err)
+		}
+	}
+	if v := getenv("BALANCER_FD"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 3 || n > most {
+			return nil, fmt.Errorf("BALANCER_FD: %q is no descriptor from 3 on", v)
+		}
+		c.inherited = n
+	}
 	if err := checkAddress(c.listen, 0); err != nil {
 		return nil, fmt.Errorf("config: listen: %w", err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,7 +15,9 @@
 	"chalkrack/internal/admin"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
+	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
+	"chalkrack/internal/maintenance"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
 	"chalkrack/internal/upstream"
@@ -30,6 +32,9 @@
 	pushWait = 1500 * time.Millisecond
 	askWait  = 5 * time.Second
 	lameFor  = 700 * time.Millisecond
+	// Where another process takes over, connections that idle are ended so long after
+	// SIGTERM: a request on them must still be answered in time.
+	idleFor = 500 * time.Millisecond
 	// All is answered so long after SIGTERM, beside the longest deadline. SIGKILL
 	// comes 0.7 s after that.
 	quitAfter = 300 * time.Millisecond
@@ -57,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	conns := c.sockets - socketsSpare - connectionsOf(c) - dutyConns(c)
+	conns := c.sockets - socketsSpare - connectionsOf(c) - dutyConns(c) - managementConns(c)
 	if store != nil {
 		defer store.Close()
 		conns -= filesOf(c)
@@ -65,13 +70,15 @@
 	// A call holds one connection of each side. With a third for the servers' side a busy
 	// sidecar of 256 descriptors threw idle connections to 60 servers out for new ones.
 	side := conns / 2
+	fig := figures.New(c.settings.Names())
 	pool := upstream.New(upstream.Config{
 		ConnIdle:    c.settings.ConnIdle,
 		DialTimeout: c.settings.DialTimeout,
 		DrainGrace:  c.settings.DrainGrace,
 		MostConns:   side,
 		// Half of the shortest aim is left for another attempt.
-		Stall: c.settings.ShortestAim() / 2,
+		Stall:     c.settings.ShortestAim() / 2,
+		Forwarded: fig.Forwarded,
 	})
 	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
 	if c.asks {
@@ -106,12 +113,14 @@
 			next(l)
 		}
 	}
-	watcher.Listed, watcher.Failed = tell, host.DiscoveryFailed
+	ops := &operation{host: host, fig: fig, tell: tell, set: maintenance.New()}
+	defer ops.close()
+	watcher.Listed, watcher.Failed = ops.listed, host.DiscoveryFailed
 	defer pool.Close()
 	defer host.Close()
 	defer watcher.Close()
 	if c.known != nil {
-		tell(c.known)
+		ops.listed(c.known)
 	}
 	var terminals *proxy.Proxy // nil: off
 	if c.Features.Radius.Enabled {
@@ -127,11 +136,20 @@
 		return err
 	}
 	defer routes.close()
-	ln, err := net.Listen("tcp", c.listen)
+	ln, err := listener(c)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := front.New(front.Config{MostConns: side, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Bodies: frontBodies(c, store), TellConfig: c.store != nil, Choose: routes.chooser()}, host)
+	srv := front.New(front.Config{MostConns: side, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Bodies: frontBodies(c, store), TellConfig: c.store != nil, Choose: routes.chooser(), Figures: fig}, host)
+	ops.srv = srv
+	calls, err := ops.manage(c)
+	if err != nil {
+		ln.Close()
+		return err
+	}
+	if calls != nil {
+		defer calls.Close()
+	}
 	less, err := newReduced(c, host, srv, pool, side)
 	if err != nil {
 		return err
@@ -142,6 +160,7 @@
 		defer levels.Stop()
 	}
 	changes := newChanger(c, host, pool, srv, watcher, ln)
+	changes.fig = fig
 	defer changes.close()
 	if path := c.Features.Admin.Socket; path != "" {
 		all := pages(c, host, srv, pool, store)
@@ -168,13 +187,15 @@
 		}
 		defer operators.Close()
 	}
-	go srv.Serve(ln)
+	if c.inherited == 0 {
+		go srv.Serve(ln)
+	}
 	routes.serve(srv)
 
 	if !c.asks {
 		listed := make(chan struct{}, 1)
 		watcher.Listed = func(l *membership.List) {
-			tell(l)
+			ops.listed(l)
 			select {
 			case listed <- struct{}{}:
 			default:
@@ -185,11 +206,15 @@
 		case <-listed:
 		case <-time.After(listMost):
 		case <-term:
-			quit(changes.longest(), host, srv, routes, terminals)
+			quit(changes, host, srv, routes, terminals)
 			return nil
 		}
 	}
-	host.SetReady(true)
+	if c.inherited > 0 {
+		// Not before: what another process of this sidecar can serve is its.
+		go srv.Serve(ln)
+	}
+	ops.serve()
 	slog.Info("ready", "listen", c.listen)
 	if ready != nil {
 		ready(ln.Addr())
@@ -223,7 +248,7 @@
 		case <-ruling.C:
 			changes.watch()
 		case <-term:
-			quit(changes.longest(), host, srv, routes, terminals)
+			quit(changes, host, srv, routes, terminals)
 			return nil
 		}
 	}
@@ -237,19 +262,32 @@
 	return slog.New(slog.NewJSONHandler(os.Stderr, nil))
 }
 
-func quit(longest time.Duration, host *core.Host, srv *front.Server, routes *routing, terminals *proxy.Proxy) {
-	began := time.Now()
+// quit answers what is taken and ends. Where the platform holds the clients' socket,
+// another process takes what comes: this one stops to, and ends connections with an
+// answer, or where nothing has come on them.
+func quit(g *changer, host *core.Host, srv *front.Server, routes *routing, terminals *proxy.Proxy) {
+	began, longest := time.Now(), g.longest()
 	slog.Info("stopping", "held", host.Held())
 	host.QuitAt(longest + quitAfter)
 	routes.quitAt(longest + quitAfter)
-	srv.Drain()
-	busy := func() bool { return srv.Busy() > 0 }
+	handsOver := g.c.inherited > 0
+	if handsOver {
+		g.ln.Close()
+		srv.SetDraining(true)
+	} else {
+		srv.Drain()
+	}
 	if terminals != nil {
 		terminals.QuitAt(longest + quitAfter)
-		busy = func() bool { return srv.Busy() > 0 || terminals.Held() > 0 }
 	}
-	for time.Since(began) < lameFor || busy() && time.Since(began) < longest+quitAfter+100*time.Millisecond {
+	busy := func() bool {
+		return srv.Busy() > 0 || handsOver && srv.Conns() > 0 || terminals != nil && terminals.Held() > 0
+	}
+	for time.Since(began) < lameFor && (!handsOver || busy()) || busy() && time.Since(began) < longest+quitAfter+100*time.Millisecond {
 		time.Sleep(10 * time.Millisecond)
+		if handsOver && time.Since(began) > idleFor {
+			srv.EndIdle()
+		}
 	}
 	slog.Info("stopped", "busy", srv.Busy(), "held", host.Held(), "after", time.Since(began))
 }
--- a/internal/daemon/recall.go
+++ b/internal/daemon/recall.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.store, r.lasting, r.Disk = c.store, c.lasting, c.Disk
+	r.store, r.lasting, r.Disk, r.Managed = c.store, c.lasting, c.Disk, c.Managed
 	r.discovery, r.known, r.seed = c.discovery, c.known, c.seed
 	return r, nil
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -13,6 +13,7 @@
 
 	"chalkrack/internal/body"
 	"chalkrack/internal/core"
+	"chalkrack/internal/figures"
 	"chalkrack/internal/message"
 )
 
@@ -24,7 +25,8 @@
 
 	conn     *conn
 	to       Handler // who takes it
-	here     Choice  // with a Status: the answer that no server gives
+	entry    figures.Request
+	here     Choice // with a Status: the answer that no server gives
 	reserved int64
 	kept     *body.Body // nil: none, or Request has it
 	tier     bool       // a tier before this one has marked it
@@ -200,9 +202,25 @@
 	_, err := c.nc.Write(b)
 	*buf = b
 	giveBack(buf)
+	x.counted(status, err == nil)
 	x.end(err == nil)
 }
 
+// counted counts the request's end, and that it came where it ends at the front.
+func (x *Exchange) counted(status int, whole bool) {
+	x.conn.srv.cfg.Figures.Take(&x.entry, x.Class)
+	switch {
+	case !whole:
+		x.entry.Over(figures.Aborted)
+	case status == http.StatusOK:
+		x.entry.Over(figures.Succeeded)
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		x.entry.Over(figures.Declined)
+	default:
+		x.entry.Over(figures.Aborted)
+	}
+}
+
 func (x *Exchange) head(b []byte, status int, field string, h http.Header) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
@@ -271,6 +289,7 @@
 // Stream is a long answer on its way to the client.
 type Stream struct {
 	x       *Exchange
+	status  int
 	chunked bool
 	head    []byte
 	left    int64
@@ -279,7 +298,7 @@
 // Stream implements core.Caller. That a client has left shows when it is written to. The answer, a *message.Answer, holds the beginning.
 func (x *Exchange) Stream(answer any, _ func()) core.Stream {
 	ans := answer.(*message.Answer)
-	w := &Stream{x: x, left: ans.Length}
+	w := &Stream{x: x, status: statusOf(ans), left: ans.Length}
 	x.keep = x.keep && !x.conn.srv.closing(x)
 	if ans.Length < 0 {
 		w.chunked = !x.http10
@@ -336,5 +355,6 @@
 		ok = false
 	}
 	w.x.conn.nc.SetWriteDeadline(time.Time{})
+	w.x.counted(w.status, ok)
 	w.x.end(ok)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"chalkrack/internal/core"
+	"chalkrack/internal/figures"
 	"chalkrack/internal/generation"
 	"chalkrack/internal/message"
 )
@@ -66,6 +67,8 @@
 	TellConfig bool
 	// Bodies keeps request bodies; nil: all are held in memory, within MostBody.
 	Bodies *Bodies
+	// Figures counts requests and their ends; nil: nobody does.
+	Figures *figures.Figures
 }
 
 // Choice is what becomes of a request.
@@ -98,14 +101,16 @@
 	listener string
 	br       *bufio.Reader
 
-	busy   bool // a request is being read or answered
-	head   bool
-	shut   bool // closed by the sidecar
-	fresh  bool
-	since  time.Time
-	began  time.Time // what wholeWait counts from; the goroutine's own
-	served sync.Cond // x became nil
-	x      *Exchange // the request that waits for its answer
+	busy    bool // a request is being read or answered
+	head    bool
+	shut    bool // closed by the sidecar
+	ending  bool // to be ended, unless something has come
+	reading bool // answered; what still comes is read off
+	fresh   bool
+	since   time.Time
+	began   time.Time // what wholeWait counts from; the goroutine's own
+	served  sync.Cond // x became nil
+	x       *Exchange // the request that waits for its answer
 }
 
 // capped is a connection's input, which ends after left bytes. Guards against a
@@ -283,6 +288,7 @@
 			return
 		case x == nil:
 		default:
+			c.srv.cfg.Figures.Take(&x.entry, x.Class)
 			if !c.open(x) {
 				slog.Warn("request turned away: its id is taken", "class", x.Class)
 				x.answer(http.StatusConflict, "", nil, nil)
@@ -326,6 +332,10 @@
 		c.nc.SetReadDeadline(c.began.Add(wholeWait))
 	}
 	_, err := c.br.Peek(1)
+	if err != nil && c.reprieved(err) {
+		c.nc.SetReadDeadline(time.Now().Add(wholeWait))
+		_, err = c.br.Peek(1)
+	}
 	if !first {
 		c.began = time.Now()
 	}
@@ -357,6 +367,7 @@
 	c.shut = true
 	if c.x != nil {
 		delete(c.srv.open, c.x.ID)
+		c.x.entry.Over(figures.Left)
 	}
 	delete(c.srv.conns, c)
 	c.srv.mu.Unlock()
@@ -551,7 +562,7 @@
 		tc.CloseWrite()
 	}
 	c.srv.mu.Lock()
-	c.busy, c.since = false, time.Now()
+	c.busy, c.reading, c.since = false, true, time.Now()
 	c.srv.mu.Unlock()
 	c.nc.SetReadDeadline(time.Now().Add(lingerMost))
 	io.CopyN(io.Discard, c.nc, lingerBytes)
--- /dev/null
+++ b/internal/management/server.go
@@ -0,0 +1,210 @@
+package management
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Deeds carries calls out. Its methods may be called from several goroutines and must
+// wait for nobody for long: each answer is owed within a second.
+type Deeds interface {
+	// Ready says whether this process can serve.
+	Ready() bool
+	// Figures appends what the sidecar counts, a line each.
+	Figures(b []byte) []byte
+	// Disable leaves a server out, Enable puts it back. An error is why not.
+	Disable(id string) error
+	Enable(id string) error
+	Drain() error
+	Undrain() error
+}
+
+const (
+	// A caller is cut that has brought no whole line for so long.
+	callMost = 10 * time.Second
+	// One that takes nothing of its answer is cut earlier: it is short.
+	answerMost = 2 * time.Second
+	// Where all places are taken, the caller that has waited longest gives way, if it is
+	// older than this: one that has just come is about to say what it wants.
+	youngest = 40 * time.Millisecond
+	acceptIn = 5 * time.Millisecond
+)
+
+// Server answers callers. It holds Places connections at most; those without a whole
+// line make way for new ones.
+type Server struct {
+	ln     net.Listener
+	deeds  Deeds
+	places int
+
+	mu    sync.Mutex
+	conns map[*caller]struct{}
+	shut  bool
+	wg    sync.WaitGroup
+}
+
+type caller struct {
+	net.Conn
+	since time.Time
+	heard bool // its line is whole
+}
+
+// Listen serves at an address with so many places. The error names the address.
+func Listen(addr string, places int, d Deeds) (*Server, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("management: %w", err)
+	}
+	s := &Server{ln: ln, deeds: d, places: max(places, 2), conns: make(map[*caller]struct{})}
+	s.wg.Go(s.accept)
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() net.Addr { return s.ln.Addr() }
+
+// Close ends it, and all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.shut = true
+	for c := range s.conns {
+		c.Conn.Close()
+	}
+	s.mu.Unlock()
+	s.ln.Close()
+	s.wg.Wait()
+}
+
+func (s *Server) accept() {
+	for {
+		s.makeRoom()
+		nc, err := s.ln.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil:
+			slog.Warn("management: can't accept", "err", err)
+			time.Sleep(acceptIn)
+			continue
+		}
+		c := &caller{Conn: nc, since: time.Now()}
+		s.mu.Lock()
+		if s.shut {
+			s.mu.Unlock()
+			nc.Close()
+			return
+		}
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Go(func() { s.serve(c) })
+	}
+}
+
+// makeRoom waits until one more connection may be held. Guards against callers that hold
+// connections and say nothing: they shut nobody out, and take no more descriptors than
+// are set aside.
+func (s *Server) makeRoom() {
+	for {
+		s.mu.Lock()
+		if s.shut || len(s.conns) < s.places {
+			s.mu.Unlock()
+			return
+		}
+		var oldest *caller
+		for c := range s.conns {
+			if !c.heard && (oldest == nil || c.since.Before(oldest.since)) {
+				oldest = c
+			}
+		}
+		if oldest != nil && time.Since(oldest.since) > youngest {
+			delete(s.conns, oldest)
+			s.mu.Unlock()
+			oldest.Conn.Close()
+			return
+		}
+		s.mu.Unlock()
+		time.Sleep(acceptIn)
+	}
+}
+
+func (s *Server) serve(c *caller) {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("panic at a management call", "panic", p, "stack", string(debug.Stack()))
+		}
+		c.Conn.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	c.SetReadDeadline(c.since.Add(callMost))
+	line, err := bufio.NewReaderSize(c.Conn, lineMost).ReadSlice('\n')
+	s.mu.Lock()
+	c.heard = true
+	s.mu.Unlock()
+	var answer []byte
+	switch {
+	case err == nil:
+		answer = s.answer(strings.TrimSuffix(string(line), "\n"))
+	case errors.Is(err, bufio.ErrBufferFull):
+		answer = no(errLong)
+	default: // it left, or brought no whole line in time
+		return
+	}
+	c.SetWriteDeadline(time.Now().Add(answerMost))
+	if _, err := c.Conn.Write(answer); err != nil {
+		return
+	}
+	// What it sent behind its line is read off: closed over it, the answer would be lost.
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		tc.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingerMost))
+	var rest [512]byte
+	for range lingerReads {
+		if _, err := c.Conn.Read(rest[:]); err != nil {
+			return
+		}
+	}
+}
+
+const (
+	lingerMost  = 100 * time.Millisecond
+	lingerReads = 64
+)
+
+func no(err error) []byte { return []byte("NO " + err.Error() + "\n") }
+
+func (s *Server) answer(line string) []byte {
+	call, err := Parse(line)
+	if err != nil {
+		return no(err)
+	}
+	switch call.Kind {
+	case Ready:
+		if !s.deeds.Ready() {
+			return []byte("NO not yet\n")
+		}
+	case Stats:
+		return append(s.deeds.Figures(nil), "END\n"...)
+	case Disable:
+		err = s.deeds.Disable(call.ID)
+	case Enable:
+		err = s.deeds.Enable(call.ID)
+	case Drain:
+		err = s.deeds.Drain()
+	case Undrain:
+		err = s.deeds.Undrain()
+	}
+	if err != nil {
+		return no(err)
+	}
+	return []byte("YES\n")
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -68,6 +68,7 @@
 	ColdFor  time.Duration
 	Warm     bool     // servers count as started long ago at first, and are cold after a restart
 	Sockets  int      // of the daemon; 0: 1,024
+	Managed  bool     // the daemon has a management address
 	Zones    []string // of the servers, in turn; the daemon is in the first. Empty: one
 }
 
@@ -160,8 +161,13 @@
 	for n := range s.Servers {
 		list = append(list, s.Endpoint(n, "up"))
 	}
+	management := ""
+	if s.Config.Managed {
+		management = "127.0.0.1:0"
+	}
 	text, err := json.Marshal(map[string]any{
-		"name": "n1", "listen": listen, "discovery": s.Discovery.Addr(), "seed": fmt.Sprintf("%016x", seed),
+		"management": management,
+		"name":       "n1", "listen": listen, "discovery": s.Discovery.Addr(), "seed": fmt.Sprintf("%016x", seed),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": cmp.Or(s.Config.Sockets, 1024)},
 		"known":  map[string]any{"index": 1, "snapshot": true, "endpoints": list},
 		"settings": map[string]any{
@@ -182,9 +188,10 @@
 
 // Daemon is a daemon that runs before a site.
 type Daemon struct {
-	Addr string
-	path string // of its configuration
-	dir  string
+	Addr       string
+	Management string // in this process, of a Managed site
+	path       string // of its configuration
+	dir        string
 
 	// In this process:
 	term chan os.Signal
@@ -256,6 +263,7 @@
 		return nil, err
 	}
 	c.Disk = disk
+	c.Managed = func(a net.Addr) { d.Management = a.String() } // before it is ready
 	if c, err = daemon.Recall(c); err != nil {
 		os.RemoveAll(d.dir)
 		return nil, err
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -315,7 +315,9 @@
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4<<10); return &b }}
 
 func (a *Attempt) sent(whole bool) (readFailed bool) {
-	a.wrote = whole
+	if a.wrote = whole; whole && a.pool.cfg.Forwarded != nil {
+		a.pool.cfg.Forwarded()
+	}
 	return a.readFailed
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,6 +24,8 @@
 	// PassClientErrors takes an answer of 4xx (but for 408 and 429) as the server's
 	// answer to the request, not as a failed attempt.
 	PassClientErrors bool
+	// Forwarded is told of each attempt whose last byte was written; nil: nobody is.
+	Forwarded func()
 }
 
 // Pool keeps the connections to all servers.
