Upgrades hand over servers that are out, the drain, and what is known of servers

internal/handover: files in the folder that both processes have. Each holds the lock of a file of its own, so that who lives is known however others end. Who starts asks, one that serves answers with its memory (per server cold since when, ejected, latency; shed level, budgets, samples, list); what operators have done is one file, changed under a lock and looked at by each process every 0.1 s, so that calls to either hold for both. Files have a version and a sum, are 4 MB at most and written by rename; what is not whole is logged and passed over. While two live each has half of the connections to servers, of the heap and of bodies. memory.go copies what a Balancer knows and bounds what it takes back.

Not taken: talking over a socket, which an old process that hangs would hold up, and which is gone with one that was killed; passing client connections, for an answer's end moves clients without it.

--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -331,6 +331,18 @@
 	return h.b.Ejected(h.now())
 }
 
+// Memory is what the Balancer has learnt, for another process of the same sidecar.
+func (h *Host) Memory() chalkrack.Memory {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.b.Memory(h.now())
+}
+
+// Remember goes on from what another process has learnt of the servers that are listed.
+func (h *Host) Remember(m chalkrack.Memory) {
+	h.locked(func(now time.Duration) { h.b.Remember(now, m) })
+}
+
 // Close ends all that is still held, as failed, and the timer. Calls that arrive later
 // are refused.
 func (h *Host) Close() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,9 +49,15 @@
 	// Requests are short-lived garbage over a small live heap: collecting less
 	// often saves CPU, as far as the memory goes.
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(c.memoryMB) << 20 * 6 / 10)
+	debug.SetMemoryLimit(c.heapMost())
 }
 
+// heapMost is what the heap may grow to, in bytes.
+func (c *Config) heapMost() int64 { return int64(c.memoryMB) << 20 * 6 / 10 }
+
+// bodiesMost is how much of requests' bodies may be held, in bytes.
+func (c *Config) bodiesMost() int64 { return int64(c.memoryMB) << 20 * 3 / 8 }
+
 // Run serves until term, and then until all that was taken is answered. At each hup
 // it reads the configuration anew. ready is told the address once it serves; nil: nobody.
 func Run(c *Config, term, hup <-chan os.Signal, ready func(net.Addr)) error {
@@ -113,7 +119,8 @@
 			next(l)
 		}
 	}
-	ops := &operation{host: host, fig: fig, tell: tell, set: maintenance.New()}
+	ops := &operation{host: host, fig: fig, tell: tell, pool: pool, set: maintenance.New(), limits: limits{c.heapMost(), side, c.bodiesMost()}}
+	ops.enter(c)
 	defer ops.close()
 	watcher.Listed, watcher.Failed = ops.listed, host.DiscoveryFailed
 	defer pool.Close()
@@ -140,7 +147,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := front.New(front.Config{MostConns: side, MostBody: int64(c.memoryMB) << 20 * 3 / 8, Bodies: frontBodies(c, store), TellConfig: c.store != nil, Choose: routes.chooser(), Figures: fig}, host)
+	srv := front.New(front.Config{MostConns: side, MostBody: c.bodiesMost(), Bodies: frontBodies(c, store), TellConfig: c.store != nil, Choose: routes.chooser(), Figures: fig}, host)
 	ops.srv = srv
 	calls, err := ops.manage(c)
 	if err != nil {
@@ -150,6 +157,7 @@
 	if calls != nil {
 		defer calls.Close()
 	}
+	ops.inherit()
 	less, err := newReduced(c, host, srv, pool, side)
 	if err != nil {
 		return err
@@ -206,6 +214,7 @@
 		case <-listed:
 		case <-time.After(listMost):
 		case <-term:
+			ops.quit()
 			quit(changes, host, srv, routes, terminals)
 			return nil
 		}
@@ -248,6 +257,7 @@
 		case <-ruling.C:
 			changes.watch()
 		case <-term:
+			ops.quit()
 			quit(changes, host, srv, routes, terminals)
 			return nil
 		}
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -11,9 +11,11 @@
 	"chalkrack/internal/drain"
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
+	"chalkrack/internal/handover"
 	"chalkrack/internal/maintenance"
 	"chalkrack/internal/management"
 	"chalkrack/internal/membership"
+	"chalkrack/internal/upstream"
 )
 
 const (
@@ -49,6 +51,11 @@
 	srv  *front.Server
 	fig  *figures.Figures
 	tell func(*membership.List)
+	pool *upstream.Pool
+
+	limits limits
+	folder *handover.Folder // nil: no other process can be of this sidecar
+	ended  chan struct{}    // closed when attend has ended; nil: it never began
 
 	serving atomic.Bool
 
@@ -56,7 +63,10 @@
 	set     *maintenance.Set
 	drain   drain.Machine
 	tending bool
-	closed  bool
+	others  int // processes of this sidecar
+
+	quitting bool // the clients' connections are on their way out for good
+	closed   bool
 }
 
 var _ management.Deeds = (*operation)(nil)
@@ -75,14 +85,26 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.serving.Store(true)
-	_, draining := o.drain.Since()
-	o.host.SetReady(!draining)
+	if since, on := o.drain.Since(); on { // of the process before
+		o.begin(since)
+		return
+	}
+	o.host.SetReady(true)
 }
 
-func (o *operation) close() {
+// quit says that this process is on its way out: clients are no longer led by what
+// operators call for.
+func (o *operation) quit() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.quitting = true
+}
+
+func (o *operation) close() {
+	o.mu.Lock()
 	o.closed = true
+	o.mu.Unlock()
+	o.leave()
 }
 
 // Ready implements management.Deeds.
@@ -112,28 +134,37 @@
 func (o *operation) change(what, id string, do func(string) (*membership.List, error)) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	l, err := do(id)
-	if err != nil {
-		return err
-	}
-	if l != nil {
-		o.tell(l)
-	}
-	slog.Info(what, "server", id)
-	return nil
+	return o.record(func() error {
+		l, err := do(id)
+		if err != nil {
+			return err
+		}
+		if l != nil {
+			o.tell(l)
+		}
+		slog.Info(what, "server", id)
+		return nil
+	})
 }
 
 // Drain implements management.Deeds.
 func (o *operation) Drain() error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.begin(unixNow())
-	return nil
+	return o.record(func() error {
+		if _, on := o.drain.Since(); !on {
+			o.begin(unixNow())
+		}
+		return nil
+	})
 }
 
 // begin drains since a time. It is called with the lock held.
 func (o *operation) begin(since time.Duration) {
 	o.drain.Begin(since)
+	if o.quitting || o.srv == nil { // on its way out, or not yet there: serve goes by it
+		return
+	}
 	o.host.SetReady(false)
 	o.srv.SetDraining(true)
 	slog.Info("drain", "clients", o.srv.Conns())
@@ -147,11 +178,23 @@
 func (o *operation) Undrain() error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.record(func() error {
+		if _, on := o.drain.Since(); on {
+			o.end()
+		}
+		return nil
+	})
+}
+
+// end goes back to work. It is called with the lock held.
+func (o *operation) end() {
 	o.drain.End()
+	if o.quitting || o.srv == nil {
+		return
+	}
 	o.srv.SetDraining(false)
 	o.host.SetReady(o.serving.Load())
 	slog.Info("end of the drain", "clients", o.srv.Conns())
-	return nil
 }
 
 // tend ends what idles while a drain lasts.
@@ -160,7 +203,7 @@
 		time.Sleep(endEach)
 		o.mu.Lock()
 		st := o.drain.State(unixNow())
-		if o.closed || st == drain.Serving {
+		if o.closed || o.quitting || st == drain.Serving {
 			o.tending = false
 			o.mu.Unlock()
 			return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -235,6 +235,15 @@
 	return n
 }
 
+// LimitBodies goes on with another number of bytes of bodies at once. Past it nothing is
+// taken until enough has been given back.
+func (s *Server) LimitBodies(most int64) {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.budget.left += most - s.cfg.MostBody
+	s.cfg.MostBody = most
+}
+
 func (s *Server) tally() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -5,6 +5,7 @@
 package maintenance
 
 import (
+	"cmp"
 	"errors"
 	"maps"
 	"slices"
@@ -160,6 +161,11 @@
 	return s.change(changed...)
 }
 
+// List is the whole list as it came, by name.
+func (s *Set) List() []membership.Entry {
+	return slices.SortedFunc(maps.Values(s.listed), func(a, b membership.Entry) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // Discovered is how many servers are on the list.
 func (s *Set) Discovered() int { return len(s.listed) }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -7,10 +7,12 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -250,14 +252,33 @@
 
 // StartDaemonOn does so with files of bodies on a disk of the caller's.
 func (s *Site) StartDaemonOn(disk spool.FS, seed uint64, features string) (*Daemon, error) {
+	return s.start(disk, seed, features, nil)
+}
+
+// StartSuccessor runs a daemon that takes its clients from a socket that others of the
+// same sidecar have too, and shares a folder with them.
+func (s *Site) StartSuccessor(seed uint64, socket *net.TCPListener, shared string) (*Daemon, error) {
+	f, err := socket.File() // the daemon closes its descriptor
+	if err != nil {
+		return nil, err
+	}
+	fd, err := syscall.Dup(int(f.Fd()))
+	f.Close()
+	if err != nil {
+		return nil, err
+	}
+	return s.start(nil, seed, "", map[string]string{"BALANCER_FD": strconv.Itoa(fd), "TMPDIR": shared})
+}
+
+func (s *Site) start(disk spool.FS, seed uint64, features string, env map[string]string) (*Daemon, error) {
 	d, err := s.files("127.0.0.1:0", seed, features)
 	if err != nil {
 		return nil, err
 	}
 	d.term, d.done = make(chan os.Signal, 1), make(chan error, 1)
-	c, err := daemon.Load(func(name string) string {
-		return map[string]string{"BALANCER_CONFIG": d.path, "FAWN_FEATURES": d.features()}[name]
-	})
+	all := map[string]string{"BALANCER_CONFIG": d.path, "FAWN_FEATURES": d.features()}
+	maps.Copy(all, env)
+	c, err := daemon.Load(func(name string) string { return all[name] })
 	if err != nil {
 		os.RemoveAll(d.dir)
 		return nil, err
@@ -402,3 +423,13 @@
 
 // Log is what a process has written to standard error.
 func (d *Daemon) Log() string { return d.log.String() }
+
+// Refused is the error of a daemon that is started with a further environment and ends
+// at once; nil where it serves, and then it is stopped.
+func (s *Site) Refused(env map[string]string) error {
+	d, err := s.start(nil, 1, "", env)
+	if err == nil {
+		d.Stop()
+	}
+	return err
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -209,6 +209,24 @@
 	closeAll(old)
 }
 
+// Limit goes on with another number of connections at most. Past it idle ones are
+// closed, those that idle for the longest first; others as they end.
+func (p *Pool) Limit(most int) {
+	p.mu.Lock()
+	p.cfg.MostConns = most
+	var old []*conn
+	for p.conns > most {
+		c := p.longestIdle()
+		if c == nil {
+			break
+		}
+		old = append(old, c)
+		p.drop(c)
+	}
+	p.mu.Unlock()
+	closeAll(old)
+}
+
 // Sweep closes connections that have been idle for too long.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
@@ -342,6 +360,9 @@
 	if c.dead || c.addr != c.to.addr || !c.to.left.IsZero() {
 		return false
 	}
+	if p.conns > p.cfg.MostConns { // the limit has come down
+		return false
+	}
 	now := time.Now()
 	if idle := c.owner.idle; idle >= p.lasted || now.Sub(p.lastedAt) >= idleRelearn {
 		p.lasted, p.lastedAt = idle, now
