Long answers go on as they come, not when their first 64 KiB are there

Ruled out: shedding (10 calls), retries and copies (7), requests at the front's limits (none in the log).

Now what has come goes on when more comes after 25 ms, as it did for answers of no told length. Not taken: passing on the head at once, which would take the client's only answer for one that stops after its first piece, as spoilt ones do; those are tried again still. Small chunks say as much of themselves as they hold, so that 32 MB of answer may be 64 on the connection; its length is now held to the limit, not its bytes.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -26,7 +26,7 @@
 	// if its server breaks first, another attempt can still be made.
 	WholeMost = 64 << 10
 	headMost  = 64 << 10 // of a server's answer
-	// answerMost is beyond any answer that is meant: bodies hold 64 KiB.
+	// answerMost is the longest answer that is meant.
 	answerMost = 32 << 20
 	// smallSend is what a connection's empty buffer surely takes at once. More
 	// is written by a goroutine of its own.
@@ -457,8 +457,8 @@
 	}
 	rep := ParseLoad(resp.Header.Get("Srv-Load"))
 	ans := &message.Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	// Of a long one too so much comes first: guards against taking the client's only
-	// answer for a head that nothing follows.
+	// Of a long one too some comes first: guards against taking the client's only answer
+	// for a head that nothing follows.
 	var long bool
 	if ans.Body, long, err = readMost(resp.Body, ans.Length); err != nil {
 		a.done(chalkrack.Reset)
@@ -511,7 +511,9 @@
 		case resp.ContentLength > answerMost:
 			return nil, errLongAnswer // spoilt; begun, it could not be made for a second time
 		case resp.StatusCode >= 200:
-			c.in.left = answerMost + headMost // also for one that tells no length and never ends
+			// Also for one that tells no length and never ends. Small chunks need as much
+			// again for what they say of themselves.
+			c.in.left = 2*answerMost + headMost
 			return resp, nil
 		}
 		c.in.calm()
@@ -523,8 +525,10 @@
 
 const trickle = 25 * time.Millisecond
 
-// readMost reads a body that is not known to be long; more says that it goes on.
-// One that has stopped does not: another attempt can still be made for it.
+// readMost reads what comes of a body before it is passed on: the whole of one that is
+// told to be short, of others WholeMost, or what has come when bytes still come after
+// trickle; more says that it goes on. One that has stopped does not: another attempt can
+// still be made for it.
 func readMost(body io.Reader, length int64) (b []byte, more bool, err error) {
 	if length >= 0 && length <= WholeMost {
 		b = make([]byte, length)
@@ -546,7 +550,7 @@
 			return b, true, nil
 		case err == io.EOF:
 			return b, false, nil
-		case n > 0 && time.Since(began) > trickle && length < 0:
+		case n > 0 && time.Since(began) > trickle: // it comes slowly: what is there goes on
 			return b, true, nil
 		}
 	}
@@ -566,8 +570,12 @@
 	c.in.pausing = a.pool.lull // no other attempt can be made any more
 	buf := streamBuffers.Get().(*[]byte)
 	defer streamBuffers.Put(buf)
-	for {
+	for total := len(ans.Body); ; {
 		n, err := resp.Body.Read(*buf)
+		if total += n; total > answerMost {
+			a.done(chalkrack.Reset)
+			return false
+		}
 		if n > 0 {
 			if _, werr := w.Write((*buf)[:n]); werr != nil {
 				a.done(chalkrack.Cancelled)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,11 +72,17 @@
 type sink struct {
 	done     chan result
 	streamed bytes.Buffer
+	began    func() // nil: nobody asks
 }
 
 func newSink() *sink { return &sink{done: make(chan result, 10)} }
 
-func (s *sink) Stream(any, chalkrack.Report) io.Writer { return &s.streamed }
+func (s *sink) Stream(any, chalkrack.Report) io.Writer {
+	if s.began != nil {
+		s.began()
+	}
+	return &s.streamed
+}
 func (s *sink) Done(o chalkrack.Outcome, answer any, rep chalkrack.Report) {
 	r := result{o: o, rep: rep}
 	if ans, _ := answer.(*message.Answer); ans != nil && o == chalkrack.OK {
@@ -681,3 +688,62 @@
 		t.Errorf("idle for %v at once", p.idleMost)
 	}
 }
+
+// A long answer of a told length that comes slowly goes on as it comes: its reader is not
+// kept waiting for the first WholeMost. One that stops after its first piece, spoilt or
+// not, is not begun: another attempt can still be made.
+func TestSlowLongAnswer(t *testing.T) {
+	const length = 2 * WholeMost
+	for _, stops := range []bool{false, true} {
+		begun := make(chan struct{})
+		addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
+			readRequest(br)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nx", length)
+			if !stops {
+				time.Sleep(2 * trickle)
+				io.WriteString(c, "y")
+				<-begun // nothing more comes before these have gone on
+				io.WriteString(c, strings.Repeat("z", length-2))
+			}
+			br.ReadByte()
+		})
+		p := newPool(9)
+		if !stops {
+			p.stall, p.lull = patience, patience
+		}
+		p.Serve("s", addr, 0)
+		s := newSink()
+		s.began = sync.OnceFunc(func() { close(begun) })
+		p.Start(get(s))
+		r := s.wait(t)
+		if stops && (r.o != chalkrack.Reset || s.streamed.Len() != 0) {
+			t.Errorf("stops: outcome %d, %d streamed", r.o, s.streamed.Len())
+		}
+		if !stops && (r.o != chalkrack.OK || s.streamed.Len() != length) {
+			t.Errorf("outcome %d, %d streamed", r.o, s.streamed.Len())
+		}
+	}
+}
+
+// Small chunks say as much of themselves as they hold: an answer of the longest size
+// passes in them all the same.
+func TestLongestAnswerInSmallChunks(t *testing.T) {
+	addr, _ := fake(t, func(c net.Conn, br *bufio.Reader) {
+		readRequest(br)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		part := strings.Repeat("8\r\nxxxxxxxx\r\n", 8<<10)
+		for range answerMost / (64 << 10) {
+			io.WriteString(c, part)
+		}
+		io.WriteString(c, "0\r\n\r\n")
+		br.ReadByte()
+	})
+	p := newPool(9)
+	p.lull = patience
+	p.Serve("s", addr, 0)
+	s := newSink()
+	p.Start(get(s))
+	if r := s.wait(t); r.o != chalkrack.OK || s.streamed.Len() != answerMost {
+		t.Errorf("outcome %d, %d streamed", r.o, s.streamed.Len())
+	}
+}
