Long bodies go on as they come, and progress tells slow clients from hung ones

The front held every body until its end; 24 MB of them in all. Ruled out: the writing itself (2 ms), the front's limits (nothing in the log).

Bodies over 256 KiB, and what finds no room, now go the way that internal/body has: to one server as they come, with back-pressure, one attempt. Up to that they are kept as before and may be tried again. Memory for bodies is split: a quarter for short ones, a quarter for kept ones, half for those on their way. A server that takes nothing for 1 s is given up before the last byte. Not taken: keeping what is sent on, for further attempts; that needs the whole of 32 MB. Bodies have until 2.5 s plus a second for each 32 KiB, and no pause over 1.5 s, in place of 5.5 s in all, which cut clients of 64 kB a second off.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -186,9 +186,6 @@
 // read fills p, or ends with io.EOF or another error before.
 func (b *Body) read(p []byte) (n int, err error) {
 	for n < len(p) && err == nil {
-		if b.in.Pace != nil {
-			b.in.Pace(b.kept.Size() - int64(len(p)-n))
-		}
 		var k int
 		k, err = b.in.Body.Read(p[n:])
 		n += k
@@ -291,9 +288,9 @@
 // take reads a piece of a body that is not kept, whose bytes the keeper has counted.
 func (b *Body) take(size int64) (more bool, err error) {
 	if b.buf == nil {
-		b.buf = make([]byte, pieceMost)
+		b.buf = make([]byte, StreamPiece)
 	}
-	n, err := io.ReadAtLeast(b.in.Body, b.buf[:size], 1) // as it comes, not filled
+	n, err := io.ReadAtLeast(b.in.Body, b.buf[:min(size, int64(len(b.buf)))], 1) // as it comes, not filled
 	b.trim(size - int64(n))
 	if n > 0 {
 		b.push(b.buf[:n])
@@ -321,9 +318,6 @@
 		size := b.pieceSize()
 		s.put(b, size)
 		s.mu.Unlock()
-		if size > 0 && b.in.Pace != nil {
-			b.in.Pace(b.kept.Size() - size)
-		}
 		more, err := true, error(nil)
 		if size == 0 {
 			b.end()
--- a/internal/body/store.go
+++ b/internal/body/store.go
@@ -15,6 +15,9 @@
 	"chalkrack/internal/spool"
 )
 
+// StreamPiece is the most that is read at once of a body that is not kept.
+const StreamPiece = 32 << 10
+
 const (
 	firstPiece = 4 << 10
 	pieceMost  = spool.PieceMost
@@ -223,9 +226,6 @@
 	Length        int64 // as announced; -1: not
 	Once          bool  // the tier before keeps it
 	Body          io.Reader
-	// Pace is called before each read with what has come; nil: never. It may set the
-	// read's deadline.
-	Pace func(total int64)
 }
 
 // Receive takes a body until it is whole, or until it is known that it is not kept:
--- a/internal/daemon/bodies.go
+++ b/internal/daemon/bodies.go
@@ -91,6 +91,50 @@
 	}
 }
 
+// Long bodies, where [bodies] is off: up to longKept each is kept in memory as far as
+// there is room, and the call may be tried again; what is longer goes on to one server as
+// it comes, for its transfer there takes as long as from the client. Of the memory for
+// bodies a quarter is for short ones, a quarter for those kept here, and half for those
+// on their way.
+const (
+	longKept   = 256 << 10
+	longWindow = 64 << 10
+	longMost   = 32 << 20
+	longRate   = 32 << 10
+	longWithin = 10 * time.Minute
+	streamsMax = 512
+)
+
+// longStreams is how many bodies may be on their way at once: each has its window, and a
+// piece that is read.
+func (c *Config) longStreams() int64 {
+	return min(streamsMax, c.bodiesMost()/2/(longWindow+body.StreamPiece))
+}
+
+func newLong(c *Config) (*body.Store, error) {
+	classes := c.settings.Names()
+	kept := c.bodiesMost() / 4
+	cfg := body.Config{
+		Limits: keep.Limits{
+			Memory: kept, MemoryMost: min(longKept, kept), MoveLeast: spool.PieceMost, FileMost: min(longKept, kept),
+			Streams: c.longStreams(), Lend: 1, High: 1, Low: 0.9, Shares: make([]float64, len(classes)),
+		},
+		Window: longWindow, Classes: classes,
+	}
+	return body.New(cfg)
+}
+
+func frontLong(c *Config, store *body.Store) *front.Bodies {
+	if store == nil {
+		return nil
+	}
+	return &front.Bodies{
+		Store: store, Longest: longMost, Rate: longRate, Within: longWithin,
+		Class:  func(name string) int { return c.settings.Class([]byte(name)) },
+		Tenant: func(name string) int { return c.settings.Tenant([]byte(name)) },
+	}
+}
+
 // Status is what operators see of a daemon.
 type Status struct {
 	PID        int          `json:"pid"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"chalkrack/internal/admin"
+	"chalkrack/internal/body"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/figures"
@@ -58,6 +59,14 @@
 // bodiesMost is how much of requests' bodies may be held, in bytes.
 func (c *Config) bodiesMost() int64 { return int64(c.memoryMB) << 20 * 3 / 8 }
 
+// shortMost is how much of it is for those that the front holds itself.
+func (c *Config) shortMost() int64 {
+	if c.Features.Bodies.Enabled {
+		return c.bodiesMost()
+	}
+	return c.bodiesMost() / 4
+}
+
 // Run serves until term, and then until all that was taken is answered. At each hup
 // it reads the configuration anew. ready is told the address once it serves; nil: nobody.
 func Run(c *Config, term, hup <-chan os.Signal, ready func(net.Addr)) error {
@@ -65,6 +74,10 @@
 		defer c.store.Close()
 	}
 	store, err := newStore(c)
+	var long *body.Store // nil: store has the long ones too
+	if err == nil && store == nil {
+		long, err = newLong(c)
+	}
 	if err != nil {
 		return err
 	}
@@ -72,6 +85,8 @@
 	if store != nil {
 		defer store.Close()
 		conns -= filesOf(c)
+	} else {
+		defer long.Close()
 	}
 	// A call holds one connection of each side. With a third for the servers' side a busy
 	// sidecar of 256 descriptors threw idle connections to 60 servers out for new ones.
@@ -119,7 +134,7 @@
 			next(l)
 		}
 	}
-	ops := &operation{host: host, fig: fig, tell: tell, pool: pool, set: maintenance.New(), limits: limits{c.heapMost(), side, c.bodiesMost()}}
+	ops := &operation{host: host, fig: fig, tell: tell, pool: pool, set: maintenance.New(), limits: limits{c.heapMost(), side, c.shortMost()}}
 	ops.enter(c)
 	defer ops.close()
 	watcher.Listed, watcher.Failed = ops.listed, host.DiscoveryFailed
@@ -147,7 +162,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := front.New(front.Config{MostConns: side, MostBody: c.bodiesMost(), Bodies: frontBodies(c, store), TellConfig: c.store != nil, Choose: routes.chooser(), Figures: fig}, host)
+	srv := front.New(front.Config{MostConns: side, MostBody: c.shortMost(), Bodies: frontBodies(c, store), Long: frontLong(c, long), TellConfig: c.store != nil, Choose: routes.chooser(), Figures: fig}, host)
 	ops.srv = srv
 	calls, err := ops.manage(c)
 	if err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,10 +27,9 @@
 const (
 	headMost = 64 << 10
 	bodyMost = 32 << 20
-	// A request must be whole so long after its first byte, the first one of a
-	// connection so long after the connection came up; one with a long body later.
+	// A head must be whole so long after its first byte, the first one of a connection so
+	// long after the connection came up; for bodies see pace.
 	wholeWait    = 2500 * time.Millisecond
-	longWait     = 5500 * time.Millisecond
 	longBody     = 64 << 10
 	headPatience = time.Second
 	// A client that takes nothing of its answer for so long has hung.
@@ -67,6 +66,9 @@
 	TellConfig bool
 	// Bodies keeps request bodies; nil: all are held in memory, within MostBody.
 	Bodies *Bodies
+	// Long keeps those that are long or tell no length, where Bodies is nil; nil: nobody
+	// does.
+	Long *Bodies
 	// Figures counts requests and their ends; nil: nobody does.
 	Figures *figures.Figures
 }
@@ -297,7 +299,9 @@
 			return
 		case x == nil:
 		default:
-			c.srv.cfg.Figures.Take(&x.entry, x.Class)
+			if x.kept == nil || !x.kept.Coming() { // else it is not taken yet
+				c.srv.cfg.Figures.Take(&x.entry, x.Class)
+			}
 			if !c.open(x) {
 				slog.Warn("request turned away: its id is taken", "class", x.Class)
 				x.answer(http.StatusConflict, "", nil, nil)
@@ -400,7 +404,7 @@
 		return nil, http.StatusBadRequest
 	}
 	c.in.left = math.MaxInt64
-	if c.srv.cfg.Bodies != nil {
+	if c.srv.cfg.Bodies != nil || c.srv.cfg.Long != nil && (r.ContentLength > longBody || r.ContentLength < 0) {
 		return c.readKept(r, crowded)
 	}
 	if r.ContentLength > bodyMost {
@@ -484,13 +488,13 @@
 const limitRetry = 200 * time.Millisecond
 
 // readBody reads a request's body under the byte budget. Past it the rest is
-// read off and thrown away, and kept is -1. The time that is left to it is that of
-// the whole request: a client that sends a byte now and then gets no more.
+// read off and thrown away, and kept is -1.
 func (c *conn) readBody(r *http.Request) (body [][]byte, kept int64, status int) {
 	if r.Body == http.NoBody {
 		return nil, 0, 0
 	}
 	b := &c.srv.budget
+	in := c.pace(r.Body, leastRate, bodyWait)
 	over := false
 	drop := func() {
 		b.give(kept)
@@ -512,10 +516,7 @@
 			kept += size
 			piece = make([]byte, size)
 		}
-		if total >= longBody {
-			c.nc.SetReadDeadline(c.began.Add(longWait))
-		}
-		n, err := fill(r.Body, piece)
+		n, err := fill(in, piece)
 		total += int64(n)
 		if !over && n > 0 {
 			body = append(body, piece[:n])
@@ -577,6 +578,9 @@
 	io.CopyN(io.Discard, c.nc, lingerBytes)
 }
 
+// bodyWait is how long a body may take in all.
+const bodyWait = 10 * time.Minute
+
 const (
 	firstPiece = 4 << 10
 	pieceSize  = 64 << 10
--- a/internal/front/kept.go
+++ b/internal/front/kept.go
@@ -25,19 +25,17 @@
 	ProxyStatus   bool          // say in Proxy-Status what the lack of a kept body did (RFC 9209)
 }
 
-// until is when so much of a body must have come: the whole of a short one in the time
-// that any request has, of a long one at the least rate. Guards against clients that
-// trickle: each holds a place for as long as it likes.
-func (b *Bodies) until(began time.Time, total int64) time.Time {
-	if total < longBody {
-		return began.Add(wholeWait)
-	}
-	return began.Add(min(longWait+time.Duration(float64(total)/float64(b.Rate)*float64(time.Second)), b.Within))
+// keeping is how bodies are kept, of those that come here.
+func (s *Server) keeping() *Bodies {
+	if s.cfg.Bodies != nil {
+		return s.cfg.Bodies
+	}
+	return s.cfg.Long
 }
 
 // readKept takes a request behind its head, and its body as far as it is kept.
 func (c *conn) readKept(r *http.Request, crowded bool) (*Exchange, int) {
-	bs := c.srv.cfg.Bodies
+	bs := c.srv.keeping()
 	x := &Exchange{conn: c, keep: !r.Close}
 	x.Received = time.Now()
 	status := x.parse(r, c.srv.handler)
@@ -65,16 +63,15 @@
 		c.nc.SetReadDeadline(time.Time{})
 		return x, 0
 	}
-	in := body.Incoming{Class: bs.Class(x.Class), Tenant: bs.Tenant(x.Tenant), Length: r.ContentLength, Body: r.Body}
+	in := body.Incoming{Class: bs.Class(x.Class), Tenant: bs.Tenant(x.Tenant), Length: r.ContentLength, Body: c.pace(r.Body, float64(bs.Rate), bs.Within)}
 	in.Once = x.tier && x.Limits.Attempts == 1
 	if expects {
-		in.Body = &continues{c: c, r: r.Body}
+		in.Body = &continues{c: c, r: in.Body}
 	}
 	in.Body = &capBody{r: in.Body, left: bs.Longest}
-	in.Pace = func(total int64) { c.nc.SetReadDeadline(bs.until(c.began, total)) }
 	kept, err := bs.Store.Receive(in)
 	if err != nil {
-		return nil, c.badBody(err)
+		return nil, c.badBody(x, err)
 	}
 	x.kept = kept
 	x.Received = time.Now()
@@ -125,12 +122,13 @@
 }
 
 // badBody answers a request whose body could not be taken.
-func (c *conn) badBody(err error) (status int) {
-	bs := c.srv.cfg.Bodies
+func (c *conn) badBody(x *Exchange, err error) (status int) {
+	bs := c.srv.keeping()
 	var ne net.Error
 	switch {
 	case errors.Is(err, body.ErrNoRoom):
 		slog.Warn("request refused: no room for its body", "conns", c.srv.tally())
+		x.counted(http.StatusServiceUnavailable, true)
 		c.rejectWith(http.StatusServiceUnavailable, retryField(limitRetry)+bs.proxyStatus("proxy_internal_error", "no room for the body"))
 		return -1
 	case errors.Is(err, errTooLong):
@@ -157,6 +155,7 @@
 		x.unread = answered
 		s.mu.Unlock()
 		if !answered {
+			s.cfg.Figures.Take(&x.entry, x.Class)
 			x.to.Whole(&x.Call)
 			return true
 		}
@@ -169,7 +168,7 @@
 	}
 	if gone {
 		// What was sent of it has no last byte: no server began it.
-		if status := c.badBody(err); status > 0 {
+		if status := c.badBody(x, err); status > 0 {
 			c.reject(status)
 		}
 		return false
@@ -192,9 +191,9 @@
 	}
 	x.kept.Ended(refused)
 	if refused {
-		return x.conn.srv.cfg.Bodies.proxyStatus("destination_unavailable", "body not kept: one attempt, which did not run")
+		return x.conn.srv.keeping().proxyStatus("destination_unavailable", "body not kept: one attempt, which did not run")
 	}
-	return x.conn.srv.cfg.Bodies.proxyStatus("connection_terminated", "body not kept: one attempt, which may have run")
+	return x.conn.srv.keeping().proxyStatus("connection_terminated", "body not kept: one attempt, which may have run")
 }
 
 // proxyStatus is the field of RFC 9209, with one of the error types of its section 2.3.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -44,6 +44,7 @@
 	stall    time.Duration
 	lull     time.Duration // stallMost, for an answer that is being passed on
 	hold     time.Duration // commitAfter
+	send     time.Duration // sendMost
 }
 
 const (
@@ -81,7 +82,7 @@
 
 // New returns an empty Pool.
 func New(cfg Config) *Pool {
-	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost, lull: stallMost, hold: commitAfter}
+	p := &Pool{cfg: cfg, servers: make(map[string]*server), early: earlyBreak, stall: stallMost, lull: stallMost, hold: commitAfter, send: sendMost}
 	p.idleMost = p.idleCap()
 	if cfg.Lull > 0 {
 		p.lull = cfg.Lull
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -51,6 +51,10 @@
 		case err == nil && !failed:
 		case err == nil:
 			a.done(chalkrack.Reset)
+		case broke && ne.Timeout():
+			slog.Info("request not written: its server takes nothing", "server", a.Server)
+			a.pool.discard(c)
+			a.done(chalkrack.ConnectFailed)
 		case broke && !failed:
 			// Its server broke it off, perhaps behind an answer that holds: the reader
 			// finds that, or the end.
@@ -65,6 +69,10 @@
 	}()
 }
 
+// sendMost is how long a server may take nothing of a body. Guards against one that
+// hangs: the client's time begins with its last byte, which it could not send.
+const sendMost = time.Second
+
 // outMost is how long an answer waits for its request's writer to say that it is done:
 // the server has all of it, so it is about to.
 const outMost = 10 * time.Millisecond
@@ -106,11 +114,15 @@
 	if !chunked && left == 0 {
 		return a.writeLast(c, b, hold)
 	}
+	send := func() { c.SetWriteDeadline(time.Now().Add(a.pool.send)) }
+	defer c.SetWriteDeadline(time.Time{})
+	send()
 	if _, err := c.Write(b); err != nil {
 		return err
 	}
 	for {
 		p, err := r.Next()
+		send()
 		switch {
 		case err == io.EOF && chunked:
 			return a.writeLast(c, []byte(lastChunk), hold)
--- a/internal/upstream/source_test.go
+++ b/internal/upstream/source_test.go
@@ -262,3 +262,31 @@
 		<-s.closed
 	}
 }
+
+// A server that takes nothing of a long body is given up before its last byte: nothing
+// ran there, and the client hears of it.
+func TestServerTakesNothing(t *testing.T) {
+	addr, _ := fake(t, func(c net.Conn, _ *bufio.Reader) {
+		c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		time.Sleep(patience)
+	})
+	p := newPool(9)
+	p.send = 50 * time.Millisecond
+	p.Serve("s", addr, 0)
+	src := newSource(64 << 20)
+	go func() {
+		part := strings.Repeat("x", 1<<20)
+		for range 63 {
+			select {
+			case src.pieces <- part:
+			case <-src.closed:
+				return
+			}
+		}
+	}()
+	s := newSink()
+	p.Start(post(src, s, false))
+	if r := s.wait(t); r.o != chalkrack.ConnectFailed {
+		t.Errorf("outcome %d", r.o)
+	}
+}
