--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -113,6 +113,7 @@
 	began   time.Time // what wholeWait counts from; the goroutine's own
 	served  sync.Cond // x became nil
 	x       *Exchange // the request that waits for its answer
+	body    paced     // the body that is being read; the goroutine's own
 }
 
 // capped is a connection's input, which ends after left bytes. Guards against a
--- a/internal/front/pace.go
+++ b/internal/front/pace.go
@@ -32,7 +32,8 @@
 
 func (c *conn) pace(r io.Reader, rate float64, most time.Duration) *paced {
 	now := time.Now()
-	p := &paced{c: c, r: r, rate: rate, most: most, from: c.began.Add(wholeWait), last: now}
+	p := &c.body // a connection has one at a time
+	*p = paced{c: c, r: r, rate: rate, most: most, from: c.began.Add(wholeWait), last: now}
 	if late := now.Add(afterHead); late.After(p.from) {
 		p.from = late
 	}
