Test of reduced service waits for the first call that an emergency turns away

Cause: test.sh failed once, on "turned away at emergency: status-check:0". The count was read at the moment in which the level was seen, before any call had come under it; the log shows the change from normal to emergency at once and nothing else.

--- a/internal/rig/level_test.go
+++ b/internal/rig/level_test.go
@@ -86,7 +86,10 @@
 		s.Do(standin.Always(standin.Act{Kind: standin.Decline}))
 	}
 	until("emergency")
-	turned := view().Turned
+	turned := view().Turned // of calls that come after the change, so a moment later
+	for end := time.Now().Add(time.Minute); turned["status-check"] == 0 && time.Now().Before(end); turned = view().Turned {
+		time.Sleep(10 * time.Millisecond)
+	}
 	for _, s := range site.Servers {
 		s.Do(standin.Always(standin.Act{}))
 	}
