Test that a drain answers requests half read or waiting when it begins

Need: the operators' rule on lost requests holds in a drain too, and no test had a request on its way when one began. One whose head is half read, and one whose server takes longer than the time after which idle connections end, both get their answer, with the word that the connection ends.

--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -320,3 +320,35 @@
 		t.Errorf("an answer took %v", most)
 	}
 }
+
+// A request that is half read when the drain begins is answered, and so is one whose
+// answer is on its way while what idles is ended.
+func TestDrainWithinARequest(t *testing.T) {
+	_, d := managed(t, 2, 0, 1500*time.Millisecond) // past the time at which idle ones end
+	say := func(id, half string) (net.Conn, string) {
+		c, err := net.Dial("tcp", d.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		text := fmt.Sprintf("GET /%s HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\n\r\n", check.Name, id)
+		if half != "" {
+			fmt.Fprint(c, text[:len(text)/2])
+			return c, text[len(text)/2:]
+		}
+		fmt.Fprint(c, text)
+		return c, ""
+	}
+	waits, _ := say("waits", "")
+	half, rest := say("half", "half")
+	settles(t, "the first is not taken", func() bool { return figure(t, d.Management, "outstanding") == 1 })
+	yes(t, d.Management, "DRAIN")
+	fmt.Fprint(half, rest)
+	for name, c := range map[string]net.Conn{"waits": waits, "half": half} {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("%s: answered %v, %v", name, resp, err)
+		}
+	}
+}
