Review: tests wait for calls to end, a retry never goes to one that is out, leftovers go

Found on reading the change again. Two tests slept for what was on its way; they wait now until the calls have ended, or each client's next one has. No test had calls that fail elsewhere while a server is out: a tenth fail at s2 now and are served by s3, none by s1; without the overlay it fails.

--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,7 +101,7 @@
 	quit := make(chan struct{})
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	made := 0
+	made, self := 0, askers.Add(1)
 	for n := range clients {
 		wg.Go(func() {
 			c := standin.NewClient(addr)
@@ -111,7 +112,7 @@
 					return
 				default:
 				}
-				if r := c.Do(context.Background(), standin.Ask{ID: fmt.Sprintf("%s-%d-%d", t.Name(), n, k), Class: check}); r.Verdict() != "served" {
+				if r := c.Do(context.Background(), standin.Ask{ID: fmt.Sprintf("%d-%d-%d", self, n, k), Class: check}); r.Verdict() != "served" {
 					t.Errorf("client %d, call %d: %s, %v", n, k, r.Verdict(), r.Err)
 				}
 				mu.Lock()
@@ -127,6 +128,19 @@
 	}
 }
 
+// failed is how many calls a server has answered as failed.
+func failed(site *rig.Site, server string) (n int) {
+	for _, a := range site.Ledger.Log() {
+		if a.Server == server && a.Act == standin.Fail {
+			n++
+		}
+	}
+	return n
+}
+
+// askers tells the calls of one asker from another's.
+var askers atomic.Int64
+
 func came(site *rig.Site, server string) (n int) {
 	for _, a := range site.Ledger.Log() {
 		if a.Server == server {
@@ -152,8 +166,12 @@
 	settles(t, "s1 is never used", func() bool { return came(site, "s1") > 5 })
 	yes(t, d.Management, "DISABLE s1")
 	yes(t, d.Management, "DISABLE s1")
-	time.Sleep(200 * time.Millisecond) // what was on its way
+	made := stop() // nothing that began before is on its way any more
 	before := came(site, "s1")
+	// Calls that fail at s2 are tried again: at s3 only.
+	site.Servers[1].Do(standin.Random(1, standin.Odd{Share: 0.1, Act: standin.Act{Kind: standin.Fail}}))
+	stop = asker(t, d.Addr, 4)
+	settles(t, "nothing fails at s2", func() bool { return failed(site, "s2") > 0 })
 	if n := figure(t, d.Management, "ejected"); n != 1 {
 		t.Errorf("%d ejected", n)
 	}
@@ -176,7 +194,7 @@
 	}
 	yes(t, d.Management, "ENABLE s1")
 	settles(t, "s1 is not used after the call back", func() bool { return came(site, "s1") > before })
-	made := stop()
+	made += stop()
 	settles(t, "something stays outstanding", func() bool { return figure(t, d.Management, "outstanding") == 0 })
 	if n := figure(t, d.Management, "succeeded."+check.Name); n != made {
 		t.Errorf("%d counted as succeeded, %d made", n, made)
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,7 +54,8 @@
 	quit := make(chan struct{})
 	var wg sync.WaitGroup
 	classes := rig.Patient()
-	for n := range 6 {
+	var ended [6]atomic.Int64
+	for n := range ended {
 		wg.Go(func() {
 			c := standin.NewClient(d.Addr)
 			defer c.Close()
@@ -71,6 +73,7 @@
 				if r := c.Do(context.Background(), a); r.Verdict() != "served" {
 					t.Errorf("%s of %s: %s, %v", a.ID, class.Name, r.Verdict(), r.Err)
 				}
+				ended[n].Add(1)
 			}
 		})
 	}
@@ -92,7 +95,10 @@
 		for _, p := range []*rig.Daemon{d, next} {
 			settles(t, "a process did not hear of servers that are out", func() bool { return figure(t, p.Management, "ejected") == len(out) })
 		}
-		time.Sleep(100 * time.Millisecond) // what was on its way
+		for n := range ended { // what was on its way has ended when the call after it has begun
+			had := ended[n].Load()
+			settles(t, "a client's calls don't end", func() bool { return ended[n].Load() > had })
+		}
 		before := make(map[string]int)
 		for _, id := range out {
 			before[id] = came(s.site, id)
--- a/internal/handover/folder.go
+++ b/internal/handover/folder.go
@@ -18,6 +18,7 @@
 	here    = "here-"   // a process; it holds the file's lock for as long as it lives
 	wants   = "wants-"  // it asks for what others have learnt
 	learnt  = "learnt-" // and this is it
+	unnamed = "new-"    // what is being written
 	done    = "done"    // what operators have done
 	doneKey = "done.lock"
 
@@ -44,7 +45,7 @@
 	rand.Read(id[:])
 	f := &Folder{dir: dir, me: fmt.Sprintf("%d-%s", os.Getpid(), hex.EncodeToString(id[:]))}
 	// Locked before others see it: guards against being taken for dead meanwhile.
-	own := f.path("new-" + f.me)
+	own := f.path(unnamed + f.me)
 	lock, err := os.OpenFile(own, os.O_RDWR|os.O_CREATE|os.O_EXCL|syscall.O_CLOEXEC, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
@@ -58,9 +59,26 @@
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	f.lock = lock
+	f.tidy()
 	return f, nil
 }
 
+// leftAfter is when a file that was never renamed was left by a process that was killed.
+const leftAfter = time.Minute
+
+// tidy removes such files. Guards against a folder that fills with them, until those who
+// live are not seen among the names.
+func (f *Folder) tidy() {
+	for _, name := range f.names() {
+		if !strings.HasPrefix(name, unnamed) {
+			continue
+		}
+		if info, err := os.Lstat(f.path(name)); err == nil && time.Since(info.ModTime()) > leftAfter {
+			os.Remove(f.path(name))
+		}
+	}
+}
+
 func (f *Folder) path(name string) string { return filepath.Join(f.dir, name) }
 
 // Close leaves the folder.
@@ -204,7 +222,7 @@
 // put writes a file whole or not at all: a process killed meanwhile leaves none of it
 // under its name. It need not outlive the machine, so nothing is synced.
 func (f *Folder) put(name string, data []byte) error {
-	tmp := f.path("new-" + f.me + "-" + name)
+	tmp := f.path(unnamed + f.me + "-" + name)
 	err := os.WriteFile(tmp, data, 0o600)
 	if err == nil {
 		err = os.Rename(tmp, f.path(name))
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -49,6 +49,25 @@
 	}
 }
 
+// What a killed process was writing goes with the next start, what is being written not.
+func TestTidy(t *testing.T) {
+	dir := t.TempDir()
+	long := time.Now().Add(-2 * leftAfter)
+	for _, name := range []string{"new-1-old", "new-2-fresh"} {
+		if err := os.WriteFile(filepath.Join(dir, name), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := os.Chtimes(filepath.Join(dir, "new-1-old"), long, long); err != nil {
+		t.Fatal(err)
+	}
+	f := enter(t, dir)
+	defer f.Close()
+	if names := strings.Join(f.names(), " "); strings.Contains(names, "old") || !strings.Contains(names, "fresh") {
+		t.Errorf("left: %s", names)
+	}
+}
+
 // Who asks is told what another has learnt, whole; with nobody there it waits no longer
 // than it said.
 func TestAskAndTell(t *testing.T) {
