Test that a process which ends before its yes leaves the old one its limits

Need: a hard case of the issue had a test of the folder only. The old process halves its connections to servers when another enters, and has all again when that one ends; it stays ready throughout. With the sharing taken out it fails ("beside another: 8 connections"). The pool tells its limit for it.

--- /dev/null
+++ b/internal/daemon/shared_test.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"chalkrack/internal/core"
+	"chalkrack/internal/front"
+	"chalkrack/internal/handover"
+	"chalkrack/internal/maintenance"
+	"chalkrack/internal/settings"
+	"chalkrack/internal/upstream"
+)
+
+// A process that starts beside one that serves takes half of the limits, and one that
+// ends before its yes gives them back: the old one is left to serve untouched. That a kill
+// counts as an end is for the test of the folder.
+func TestStartThatDies(t *testing.T) {
+	set, err := settings.Parse([]byte(`{"replicasOfMe":1,"caps":{"attemptsCap":2},"classes":[{"name":"a","effect":"repeatable","promiseUs":1000000,"hardLimitUs":3000000}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	pool := upstream.New(upstream.Config{MostConns: 8})
+	host, err := core.New(core.Config{Settings: set, Seed: 1, Transport: pool})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer host.Close()
+	tmp := t.TempDir()
+	c := &Config{listen: ln.Addr().String(), inherited: 9, getenv: func(string) string { return tmp }}
+	o := &operation{host: host, pool: pool, srv: front.New(front.Config{MostConns: 8, MostBody: 1 << 20}, host), set: maintenance.New(), tell: host.Listed,
+		limits: limits{memory: 1 << 30, conns: 8, bodies: 1 << 20}}
+	o.enter(c)
+	defer o.close()
+	o.inherit()
+	o.serve()
+	others := func(want int) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+			o.mu.Lock()
+			is := o.others
+			o.mu.Unlock()
+			if is == want {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d others, want %d", is, want)
+			}
+		}
+	}
+	most := func() int { return pool.Limits() }
+	others(0)
+	if most() != 8 {
+		t.Errorf("alone: %d connections at the most", most())
+	}
+	next, err := handover.Open(filepath.Join(tmp, "fawnrock-"+c.listen))
+	if err != nil {
+		t.Fatal(err)
+	}
+	others(1)
+	o.mu.Lock() // attend has shared them by when it lets go
+	half := most()
+	o.mu.Unlock()
+	if half != 4 {
+		t.Errorf("beside another: %d connections at the most", half)
+	}
+	next.Close()
+	others(0)
+	o.mu.Lock()
+	whole := most()
+	o.mu.Unlock()
+	if whole != 8 || !host.Ready() || !o.Ready() {
+		t.Errorf("after the other's death: %d connections at the most, ready %v", whole, host.Ready())
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -249,6 +249,13 @@
 // counts as one that has left, so nothing new is sent.
 func (p *Pool) Close() { p.Keep(nil) }
 
+// Limits is the number of connections at most, as Limit said last.
+func (p *Pool) Limits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cfg.MostConns
+}
+
 // Conns is the number of connections.
 func (p *Pool) Conns() int {
 	p.mu.Lock()
