A fleet of processes: links with faults, schedules, histories, checkers

What several processes of the program do together when parts fail could not be tried: the rig runs one daemon before one site.

internal/fleet starts the built daemon several times, each behind links of its own to each server, to discovery and to each peer, plays a schedule of faults (TOML, shipped or drawn from a seed) and writes a history that checkers read. fawnctl fleet run, report, list. A link that is cut never lets a connection come up: its listener's queue is full. Not taken: network namespaces (root), a fake network inside the daemon (shows nothing of sockets, signals and starts).

Each checker finds its planted breach; the links' faults are tested one by one.

--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -21,21 +21,22 @@
 )
 
 type cli struct {
-	Check    checkCmd    `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
-	Demo     demoCmd     `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
-	Config   configCmd   `cmd:"" help:"Changes of the configuration."`
-	Radius   radiusCmd   `cmd:"" help:"RADIUS, as a terminal speaks it."`
-	Status   stateCmd    `cmd:"" help:"What state a running daemon is in."`
-	Explain  explainCmd  `cmd:"" help:"Group the stories of calls that were not served in time by their causes."`
-	Load     loadCmd     `cmd:"" help:"Send load at the times of a schedule, and measure."`
-	Rehearse rehearseCmd `cmd:"" help:"Play a scenario with a daemon and stand-in servers, and judge it by the rules."`
-	Import   importCmd   `cmd:"" help:"Make settings of other programs' configurations."`
-	Level    levelCmd    `cmd:"" help:"How much of its service a running daemon gives, since when and why."`
-	Operate  operateCmd  `cmd:"" help:"Ask a running sidecar for its figures, take servers out and back, drain it."`
-	Duty     dutyCmd     `cmd:"" help:"Who is alive and who watches what, where probing is shared."`
-	Plan     fleetCmd    `cmd:"" help:"Work out what a fleet can carry, and where, or why it can't."`
-	Keygen   keygenCmd   `cmd:"" help:"Make a key that signs a plan's weights."`
-	Bodies   bodiesCmd   `cmd:"" help:"Where a running daemon keeps request bodies, and what became of them."`
+	Check    checkCmd     `cmd:"" help:"Check files of the operators' own settings (deploy/features.toml)."`
+	Demo     demoCmd      `cmd:"" help:"Run the daemon before stand-in servers and clients, and watch."`
+	Config   configCmd    `cmd:"" help:"Changes of the configuration."`
+	Radius   radiusCmd    `cmd:"" help:"RADIUS, as a terminal speaks it."`
+	Status   stateCmd     `cmd:"" help:"What state a running daemon is in."`
+	Explain  explainCmd   `cmd:"" help:"Group the stories of calls that were not served in time by their causes."`
+	Load     loadCmd      `cmd:"" help:"Send load at the times of a schedule, and measure."`
+	Rehearse rehearseCmd  `cmd:"" help:"Play a scenario with a daemon and stand-in servers, and judge it by the rules."`
+	Import   importCmd    `cmd:"" help:"Make settings of other programs' configurations."`
+	Level    levelCmd     `cmd:"" help:"How much of its service a running daemon gives, since when and why."`
+	Operate  operateCmd   `cmd:"" help:"Ask a running sidecar for its figures, take servers out and back, drain it."`
+	Duty     dutyCmd      `cmd:"" help:"Who is alive and who watches what, where probing is shared."`
+	Plan     fleetCmd     `cmd:"" help:"Work out what a fleet can carry, and where, or why it can't."`
+	Keygen   keygenCmd    `cmd:"" help:"Make a key that signs a plan's weights."`
+	Fleet    processesCmd `cmd:"" help:"Play faults against several sidecars at once, and check what they did."`
+	Bodies   bodiesCmd    `cmd:"" help:"Where a running daemon keeps request bodies, and what became of them."`
 }
 
 // streams are what a command reads and writes.
@@ -147,6 +148,9 @@
 		switch {
 		case errors.Is(err, errBad):
 			return 1
+		case errors.Is(err, errBroken):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 1
 		case errors.Is(err, errLosses):
 			return 1
 		case errors.Is(err, errShort):
