Nothing is sent for clients that left while the process was stopped

Cause: the front handed a request on before it could see the end of its connection, which lies behind the request in the same socket (front.go, serve); the same where a dial has ended, where a held last byte is written and at further attempts, whose timers all come due when a stopped process goes on (upstream/attempt.go, send and commit). Ruled out: the request's age by the sidecar's clock, alarms past the deadline, doubles.

One look at the client's socket before a call is handed on, and one before what is written later than in the call's own arrival; what is past its time is not written. The plug-in asks its context. Not taken: a delay after a gap in the clock, which guesses.

Tests at the front, upstream and over real processes.

--- a/client/call.go
+++ b/client/call.go
@@ -102,7 +102,7 @@
 	}
 	c.msg.Method = method
 	c.msg.Head = message.AppendHead(make([]byte, 0, 512), method, r.URL.RequestURI(), host, h, size)
-	c.msg.Marked = true
+	c.msg.Marked, c.msg.Client = true, c
 	c.Call = core.Call{
 		ID: id, Class: info.Class, Tenant: info.Tenant, Key: info.About,
 		Wait: wait, Received: time.Now(), Payload: &c.msg, Caller: c,
@@ -113,6 +113,13 @@
 	return c, nil
 }
 
+// Left implements message.Client. A context's end may be due and not told yet.
+func (c *call) Left() bool {
+	ctx := c.r.Context()
+	at, timed := ctx.Deadline()
+	return ctx.Err() != nil || timed && time.Now().After(at)
+}
+
 // wait is how long the caller waits: what the context says, or the request, at most.
 func (c *call) wait(field string) (wait time.Duration, err error) {
 	if field != "" {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,7 +86,10 @@
 	NotAfter time.Time // when it is too late to begin; zero: never
 	Once     bool      // must not run twice
 	Pass     bool      // a 4xx is the answer
-	Sink     Sink
+	// Later says that the call did not come just now: its caller may have left since, and
+	// the process may have been stopped.
+	Later bool
+	Sink  Sink
 }
 
 // Sink is told how an attempt goes.
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -45,6 +45,7 @@
 	last    chalkrack.RequestID
 	marks   marks
 	alarms  alarms
+	coming  *call // the one whose arrival is being decided on
 	alarm   *time.Timer
 	alarmAt time.Duration
 	actions *[]action // nil: none
@@ -228,6 +229,8 @@
 		h.held[q.id] = q
 		h.after(alarm{at: deadline, q: q})
 		h.begins(now, q)
+		h.coming = q
+		defer func() { h.coming = nil }()
 		h.b.Arrive(now, chalkrack.Request{
 			ID:       q.id,
 			Class:    class,
@@ -411,6 +414,7 @@
 		Deadline: now.Add(timeout),
 		Once:     q.class != nil && q.class.Effect == chalkrack.Unsafe,
 		Pass:     q.c.Under.Gen.PassClientErrors,
+		Later:    q != h.coming,
 		Sink:     a,
 	}
 	if l := q.c.Limits; l != nil {
--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -44,19 +45,40 @@
 
 // pending says whether there are bytes to read.
 func pending(nc net.Conn) bool {
+	n, err := peek(nc)
+	return err == nil && n > 0
+}
+
+// hungUp says whether the other side has ended the connection, and nothing is left to read
+// before that.
+func hungUp(nc net.Conn) bool {
+	switch n, err := peek(nc); err {
+	case nil:
+		return n == 0
+	case syscall.EAGAIN, syscall.EINTR, errNoPeek:
+		return false
+	default:
+		return true
+	}
+}
+
+// errNoPeek is for a connection that can't be looked at, or is closed on this side.
+var errNoPeek = errors.New("front: no look at this connection")
+
+// peek looks at what there is to read, and waits for nothing.
+func peek(nc net.Conn) (n int, err error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNoPeek
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, errNoPeek
 	}
-	some := false
-	err = raw.Control(func(fd uintptr) {
+	err = errNoPeek
+	raw.Control(func(fd uintptr) {
 		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		some = err == nil && n > 0
+		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && some
+	return n, err
 }
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -91,6 +91,10 @@
 	return 0
 }
 
+// Left implements message.Client. One that has closed its connection has left, though the
+// word of it may not have been read yet.
+func (x *Exchange) Left() bool { return hungUp(x.conn.nc) }
+
 // source is a client's address.
 func source(nc net.Conn) netip.Addr {
 	if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
@@ -129,6 +133,7 @@
 	}
 	b := message.AppendHead(make([]byte, 0, 512), r.Method, uri, r.Host, r.Header, size)
 	x.Request = message.Request{Method: r.Method, Head: b}
+	x.Request.Client = x
 	x.Payload, x.Caller = &x.Request, x
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -313,6 +313,14 @@
 				}
 				continue
 			}
+			if c.br.Buffered() == 0 && x.Left() {
+				// Guards against a process that was stopped, or starved of its core: what
+				// came meanwhile is read when it goes on, before the word that its client
+				// has left since, and would be sent on for nobody.
+				slog.Info("client left before its request was read", "class", x.Class)
+				x.Release()
+				return
+			}
 			x.to.Arrive(&x.Call)
 			if x.kept != nil && x.kept.Coming() && !c.forward(x) {
 				return
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -20,6 +20,15 @@
 	// length.
 	Chunked bool
 	Marked  bool // each attempt tells the next tier that it is decided here
+	// Client is who waits for the answer; nil: nobody can tell.
+	Client Client
+}
+
+// Client is who waits for a call's answer.
+type Client interface {
+	// Left says whether it has left by now, also where nobody has been told yet. It may
+	// cost a system call, waits for nothing, and may be called from any goroutine.
+	Left() bool
 }
 
 // Answer is a server's answer.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -42,6 +42,7 @@
 	NotAfter time.Time // when it is too late to begin; zero: never
 	Once     bool      // must not run twice
 	Pass     bool      // a 4xx is the answer
+	Later    bool      // its call did not come just now
 	Sink     core.Sink
 
 	pool *Pool
@@ -82,6 +83,7 @@
 		NotAfter: o.NotAfter,
 		Once:     o.Once,
 		Pass:     o.Pass,
+		Later:    o.Later,
 		Sink:     o.Sink,
 		pool:     p,
 	}
@@ -176,6 +178,7 @@
 		a.done(chalkrack.ConnectFailed)
 		return
 	}
+	a.Later = true
 	go a.sendGuarded(c)
 	c.read(a.pool)
 }
@@ -206,7 +209,9 @@
 func (a *Attempt) send(c *conn) {
 	// A slow dial must not carry work past a drain's grace, nor a repeat past the time
 	// for which servers drop it.
-	late := a.pool.late(a.to) || !a.NotAfter.IsZero() && time.Now().After(a.NotAfter)
+	now := time.Now()
+	late := a.pool.late(a.to) || !a.NotAfter.IsZero() && now.After(a.NotAfter)
+	unwanted := a.Later && a.unwanted(now)
 	a.mu.Lock()
 	a.conn = c
 	if a.ended || late || a.readFailed {
@@ -216,6 +221,13 @@
 		a.done(chalkrack.ConnectFailed)
 		return
 	}
+	if unwanted {
+		a.ended = true
+		a.mu.Unlock()
+		a.pool.discard(c)
+		a.done(chalkrack.NotSent)
+		return
+	}
 	hold := a.Once && a.pool.brittle()
 	if a.Request.Source != nil {
 		a.sendSource(c, hold)
@@ -262,6 +274,13 @@
 	}()
 }
 
+// unwanted says that nobody waits for the answer any more. Guards against a process that
+// was stopped, or starved of its core: what was to be written meanwhile is written when it
+// goes on, before it is told that the client has left, or that the time is up.
+func (a *Attempt) unwanted(now time.Time) bool {
+	return a.Request.Source == nil && !a.Deadline.IsZero() && now.After(a.Deadline) || a.Request.Client != nil && a.Request.Client.Left()
+}
+
 func (a *Attempt) appendHead(head []byte) []byte {
 	head = append(head, a.Request.Head...)
 	if a.Request.Chunked {
@@ -297,6 +316,7 @@
 }
 
 func (a *Attempt) commit(c *conn, last byte) {
+	unwanted := a.unwanted(time.Now())
 	a.mu.Lock()
 	if a.ended || a.readFailed {
 		a.ended = true
@@ -305,6 +325,13 @@
 		a.done(chalkrack.ConnectFailed)
 		return
 	}
+	if unwanted {
+		a.ended, a.held = true, false // its connection breaks by this, and proves nothing
+		a.mu.Unlock()
+		a.pool.discard(c)
+		a.done(chalkrack.NotSent)
+		return
+	}
 	a.held, a.began = false, true
 	n, err := c.Write([]byte{last})
 	failed := a.sent(n == 1)
