Leaving a failing zone as a fleet, and coming back in stages ([zones], off)

A lost zone was learnt server by server and sidecar by sidecar, quiet ones by their own calls, and each tested its return alone.

Its word travels in the notes of [duty]; servers of a zone that is left drain for the module, a pace is asked for by Zones.Room; calls on their way to it are tried elsewhere. fawnctl zone.

Off, no note is sent (test over processes).

--- a/balancer.go
+++ b/balancer.go
@@ -222,7 +222,7 @@
 	timers   map[uint64]*request
 	cookies  uint64
 	retries  float64
-	gate     Gate
+	gate     gates
 
 	askCookie uint64 // the timer of the next call to discovery
 	askBack   time.Duration
@@ -237,7 +237,7 @@
 		requests: make(map[RequestID]*request),
 		timers:   make(map[uint64]*request),
 		retries:  retriesMax,
-		gate:     open{},
+		gate:     gates{open{}, open{}},
 	}
 	b.fleet = fleet{cfg: &b.cfg, taken: 1, byName: make(map[string]*server), rand: b.rng.Float64}
 	if err := b.Adopt(cfg); err != nil {
@@ -417,7 +417,7 @@
 		return false
 	}
 	may := func(s *server) bool {
-		if q.Only != "" && q.Only != s.name || slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == s }) {
+		if q.Only != "" && q.Only != s.name || !b.gate.Room(now, s.zone, q.Class) || slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == s }) {
 			return false
 		}
 		return anchor == nil || q.class.Effect != Keyed || sameGroup(q.class.Scope, anchor.to, s)
--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -33,6 +33,7 @@
 	Level    levelCmd     `cmd:"" help:"How much of its service a running daemon gives, since when and why."`
 	Operate  operateCmd   `cmd:"" help:"Ask a running sidecar for its figures, take servers out and back, drain it."`
 	Duty     dutyCmd      `cmd:"" help:"Who is alive and who watches what, where probing is shared."`
+	Zone     zoneCmd      `cmd:"" help:"Zones that the fleet has left, and orders to leave or return."`
 	Plan     fleetCmd     `cmd:"" help:"Work out what a fleet can carry, and where, or why it can't."`
 	Keygen   keygenCmd    `cmd:"" help:"Make a key that signs a plan's weights."`
 	Fleet    processesCmd `cmd:"" help:"Play faults against several sidecars at once, and check what they did."`
--- a/gate.go
+++ b/gate.go
@@ -21,5 +21,24 @@
 func (open) Retries(int) bool                { return true }
 func (open) Wait(int, float64) time.Duration { return 0 }
 
+// Zones is what a Balancer asks whether a zone has room for a call. Like a Gate it decides
+// for the fleet, or for the operators, what the Balancer then carries out: of the servers
+// that it leaves, the Balancer chooses.
+type Zones interface {
+	Room(now time.Duration, zone string, class int) bool
+}
+
+// Room implements Zones.
+func (open) Room(time.Duration, string, int) bool { return true }
+
+// gates are all that a Balancer asks.
+type gates struct {
+	Gate
+	Zones
+}
+
 // SetGate has a Balancer ask g from now on.
-func (b *Balancer) SetGate(g Gate) { b.gate = g }
+func (b *Balancer) SetGate(g Gate) { b.gate.Gate = g }
+
+// SetZones has a Balancer ask z from now on.
+func (b *Balancer) SetZones(z Zones) { b.gate.Zones = z }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,14 @@
 	Coming time.Duration
 }
 
+// Watch is told of each attempt, under the core's lock: it must not wait, nor call back.
+type Watch interface {
+	// Sent says that an attempt goes to a server. What it returns is told at its end.
+	Sent(now time.Duration, server string) (ticket uint64)
+	// Ended says how it ended, once.
+	Ended(now time.Duration, ticket uint64, o chalkrack.Outcome)
+}
+
 // Order is what a transport is told of one attempt.
 type Order struct {
 	Payload  any // the call's
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -31,6 +31,7 @@
 	directory Directory
 	log       func() *slog.Logger
 	story     *slog.Logger // nil: off
+	watch     Watch        // nil: nobody
 
 	start time.Time
 	unix  time.Duration // at start
@@ -45,7 +46,8 @@
 	last    chalkrack.RequestID
 	marks   marks
 	alarms  alarms
-	coming  *call // the one whose arrival is being decided on
+	watched map[uint64]*attempt // that are out, by the watch's tickets; nil: no watch
+	coming  *call               // the one whose arrival is being decided on
 	alarm   *time.Timer
 	alarmAt time.Duration
 	actions *[]action // nil: none
@@ -67,6 +69,8 @@
 	Log       *slog.Logger // nil: the default one
 	// Story is told of each call that was not served within its aim; nil: nobody is.
 	Story *slog.Logger
+	// Watch is told of each attempt; nil: nobody is.
+	Watch Watch
 }
 
 var noLimits Limits
@@ -110,6 +114,7 @@
 	sent time.Duration
 	done bool
 
+	ticket   uint64 // of the watch
 	neverRan bool
 	stream   Stream
 }
@@ -138,10 +143,14 @@
 		unix:      time.Duration(start.UnixNano()),
 		held:      make(map[chalkrack.RequestID]*call),
 		story:     cfg.Story,
+		watch:     cfg.Watch,
 	}
 	if cfg.Log != nil {
 		h.log = func() *slog.Logger { return cfg.Log }
 	}
+	if h.watch != nil {
+		h.watched = make(map[uint64]*attempt)
+	}
 	h.view.Store(gens.View())
 	h.alarm = time.AfterFunc(time.Hour, h.ring)
 	h.locked(func(time.Duration) { h.b, err = chalkrack.New(*first.Rules(), cfg.Seed, h) })
@@ -151,6 +160,14 @@
 	return h, err
 }
 
+// SetZones has the Balancer ask z whether zones have room for calls.
+func (h *Host) SetZones(z chalkrack.Zones) {
+	h.locked(func(time.Duration) { h.b.SetZones(z) })
+}
+
+// Now is the time that the Balancer goes by.
+func (h *Host) Now() time.Duration { return h.now() }
+
 func (h *Host) now() time.Duration { return h.unix + time.Since(h.start) }
 
 // locked brings an event to the Balancer and then does what it asked for.
@@ -427,6 +444,10 @@
 		}
 	}
 	a.send = h.transport.Attempt(o)
+	if h.watch != nil {
+		a.ticket = h.watch.Sent(a.sent, server)
+		h.watched[a.ticket] = a
+	}
 	q.attempts = append(q.attempts, a)
 	q.out++
 	h.sends(a.sent, q, a)
@@ -574,6 +595,29 @@
 	h.forget(q)
 }
 
+// GiveUp stops waiting for attempts, by the watch's tickets, so that others can be made for
+// their calls. What must not run twice goes on: no other can be made, and this one may
+// still be answered.
+func (h *Host) GiveUp(tickets []uint64) {
+	if len(tickets) == 0 {
+		return
+	}
+	h.locked(func(now time.Duration) {
+		for _, t := range tickets {
+			a := h.watched[t]
+			if a == nil || a.done || a.q.over || a.q.coming || a.q.class == nil || a.q.class.Effect == chalkrack.Unsafe {
+				continue
+			}
+			o := chalkrack.TimedOut
+			if !a.send.Abandon() {
+				o = chalkrack.ConnectFailed
+			}
+			h.act(action{kind: actCloseAttempt, a: a})
+			h.done(now, a, o, nil, chalkrack.Report{})
+		}
+	})
+}
+
 // expire ends what a call still has out at its deadline.
 func (h *Host) expire(now time.Duration, q *call) {
 	if h.held[q.id] == nil {
--- a/internal/core/story.go
+++ b/internal/core/story.go
@@ -63,6 +63,10 @@
 // attemptEnded notes how an attempt went.
 func (h *Host) attemptEnded(now time.Duration, a *attempt, o chalkrack.Outcome) {
 	h.count(now, a, o)
+	if h.watch != nil {
+		h.watch.Ended(now, a.ticket, o)
+		delete(h.watched, a.ticket)
+	}
 	if s := a.q.story; s != nil && a.n < len(s.Attempts) {
 		t := &s.Attempts[a.n]
 		t.Took, t.Outcome, t.Phase = millis(now-a.sent), outcomes[o], a.send.Phase()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,7 +109,11 @@
 		c.known.Whole = true
 		watcher.Track = membership.Holding(c.known)
 	}
-	host, err := core.New(core.Config{First: generationOf(c, c.id()), Seed: c.seed, Transport: pool, Directory: watcher, Story: stories(c)})
+	zoned, err := newZoned(c)
+	if err != nil {
+		return err
+	}
+	host, err := core.New(core.Config{Watch: watchOf(zoned), First: generationOf(c, c.id()), Seed: c.seed, Transport: pool, Directory: watcher, Story: stories(c)})
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -134,6 +138,8 @@
 			next(l)
 		}
 	}
+	tell = zone(zoned, host, shared, tell)
+	shared.begin()
 	ops := &operation{host: host, fig: fig, tell: tell, pool: pool, set: maintenance.New(), limits: limits{c.heapMost(), side, c.shortMost()}}
 	ops.enter(c)
 	defer ops.close()
@@ -144,6 +150,10 @@
 	if c.known != nil {
 		ops.listed(c.known)
 	}
+	if zoned != nil {
+		zoned.Begin()
+		defer zoned.Close()
+	}
 	var terminals *proxy.Proxy // nil: off
 	if c.Features.Radius.Enabled {
 		terminals, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Base: c.settings.Config, Grace: c.settings.DrainGrace, Seed: c.seed})
@@ -197,11 +207,17 @@
 		if shared != nil {
 			all["duty"] = func() any { return shared.view() }
 		}
+		if zoned != nil {
+			all["zones"] = zoned.View
+		}
 		deeds := changes.pages(all)
 		if deeds == nil {
 			deeds = make(map[string]admin.Deed)
 		}
 		deeds["operate"] = ops.deed
+		if zoned != nil {
+			deeds["zones/order"] = zoned.Deed
+		}
 		if less != nil {
 			less.pages(all, deeds)
 		}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -50,7 +50,11 @@
 	wait  time.Duration
 	http  *http.Transport
 	room  chan struct{}
-	addrs map[string]*net.UDPAddr // of peers, by name, which is their address
+	addrs map[string]*net.UDPAddr                   // of peers, by name, which is their address
+	ids   map[duty.ID]int                           // the numbers of peers
+	named []string                                  // and their names, by number
+	quiet bool                                      // nobody is probed
+	heard func(number int, inc uint64, part []byte) // takes others' parts of notes; nil: nobody does
 	stop  context.CancelFunc
 	ctx   context.Context
 	wg    sync.WaitGroup
@@ -83,10 +87,12 @@
 		if len(f.Zones) > 0 && !known {
 			return cfg, "", fmt.Errorf("features: duty.zones: %s has none", addr)
 		}
+		// By number: a peer's address may differ from one sidecar to the next.
+		as := asPeer(n)
 		if n == raw.Settings.Rank {
-			cfg.Self, cfg.Zone = addr, zone
+			cfg.Self, cfg.As, cfg.Zone = addr, as, zone
 		} else {
-			cfg.Peers = append(cfg.Peers, duty.Peer{Name: addr, Zone: zone})
+			cfg.Peers = append(cfg.Peers, duty.Peer{Name: addr, As: as, Zone: zone})
 		}
 	}
 	if err := cfg.Validate(); err != nil {
@@ -95,6 +101,9 @@
 	return cfg, raw.PeerListen, nil
 }
 
+// asPeer is the name that all sidecars know the one with a number by.
+func asPeer(n int) string { return fmt.Sprint("sidecar ", n) }
+
 // newDuties returns nil where [duty] is off.
 func newDuties(c *Config, host *core.Host) (*duties, error) {
 	if !c.Features.Duty.Enabled {
@@ -119,7 +128,11 @@
 	s := &duties{host: host, start: time.Now(), d: d, key: []byte(f.Key), path: f.Path, slow: time.Duration(f.Slow), wait: time.Duration(f.Timeout),
 		room: make(chan struct{}, probesOut), addrs: make(map[string]*net.UDPAddr), nodes: make(map[string]membership.Entry), told: make(map[string]time.Duration),
 		http: &http.Transport{MaxConnsPerHost: 1, MaxIdleConns: probesOut, IdleConnTimeout: 3 * time.Duration(f.Every), DisableCompression: true}}
+	s.ids, s.named, s.quiet = make(map[duty.ID]int), make([]string, len(cfg.Peers)+1), !f.Probing
 	for _, p := range cfg.Peers {
+		var n int
+		fmt.Sscanf(p.As, "sidecar %d", &n)
+		s.ids[duty.IDOf(p.As)], s.named[n] = n, p.Name
 		if s.addrs[p.Name], err = net.ResolveUDPAddr("udp", p.Name); err != nil {
 			return nil, fmt.Errorf("config: peers: %w", err)
 		}
@@ -128,15 +141,45 @@
 		return nil, fmt.Errorf("config: peer_listen: %w", err)
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
-	s.wg.Go(s.read)
-	s.wg.Go(s.run)
 	return s, nil
 }
 
+// begin has it tell and hear. What its notes carry of others' is set before.
+func (s *duties) begin() {
+	if s != nil {
+		s.wg.Go(s.read)
+		s.wg.Go(s.run)
+	}
+}
+
+// carry has notes carry a part of others', and hands what comes to them. It is called
+// before begin.
+func (s *duties) carries(part func(room int) []byte, heard func(number int, inc uint64, part []byte)) {
+	s.d.Carry(func(_ time.Duration, room int) []byte { return part(room) })
+	s.heard = heard
+}
+
+// tellSome has peers told what there is to tell now: so many drawn, and those of a number.
+func (s *duties) tellSome(n int, numbers []int) {
+	var names []string
+	for _, i := range numbers {
+		if i >= 0 && i < len(s.named) && s.named[i] != "" {
+			names = append(names, s.named[i])
+		}
+	}
+	s.mu.Lock()
+	out := s.d.TellSome(s.now(), n, names...)
+	s.mu.Unlock()
+	s.carry(out)
+}
+
 func (s *duties) now() time.Duration { return time.Since(s.start) }
 
 // listed takes what discovery says: only what it names is probed and told of.
 func (s *duties) listed(l *membership.List) {
+	if s.quiet {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l.Whole {
@@ -201,6 +244,9 @@
 		out := s.d.Receive(s.now(), note)
 		s.mu.Unlock()
 		s.carry(out)
+		if n, known := s.ids[note.From]; known && s.heard != nil && len(note.Part) > 0 {
+			s.heard(n, note.Inc, note.Part)
+		}
 	}
 }
 
--- a/internal/daemon/duties_test.go
+++ b/internal/daemon/duties_test.go
@@ -81,6 +81,7 @@
 		defer host.Close()
 		host.Listed(list)
 		s, err := newDuties(c, host)
+		s.begin()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/duty/config.go
+++ b/internal/duty/config.go
@@ -17,8 +17,13 @@
 // Peer is a sidecar that may be there.
 type Peer struct {
 	Name, Zone string
+	As         string // the name that all sidecars know it by; empty: Name
 }
 
+func (p *Peer) id() ID { return IDOf(cmp.Or(p.As, p.Name)) }
+
+func (c *Config) id() ID { return IDOf(cmp.Or(c.As, c.Self)) }
+
 // Node is a server that this sidecar's own list names.
 type Node struct {
 	Name, Zone string
@@ -27,6 +32,7 @@
 // Config is what a Duty goes by.
 type Config struct {
 	Self  string
+	As    string // the name that all sidecars know this one by; empty: Self
 	Peers []Peer // without Self
 	Zone  string // of Self
 	Inc   uint64 // of this start: above those of earlier ones, as the time is
@@ -66,9 +72,9 @@
 	}
 	need(c.Self != "", "self", "must be set")
 	need(len(c.Peers) < PeersMost, "peers", "must be below %d", PeersMost)
-	seen := map[ID]string{IDOf(c.Self): c.Self}
+	seen := map[ID]string{c.id(): c.Self}
 	for _, p := range c.Peers {
-		id := IDOf(p.Name)
+		id := p.id()
 		need(p.Name != "" && seen[id] == "", "peers", "%q is there twice, or has the hash of %q", p.Name, seen[id])
 		seen[id] = cmp.Or(p.Name, "?")
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -100,8 +100,9 @@
 	due   time.Duration // of the next period
 	seq   uint32
 	open  []asked
-	dirty bool // places must be worked out anew
-	turn  int  // of findings that are told
+	dirty bool                                     // places must be worked out anew
+	turn  int                                      // of findings that are told
+	part  func(now time.Duration, room int) []byte // what others add to notes; nil: nobody does
 
 	probes, notes bucket
 	ramp          float64 // of takeovers, a second
@@ -127,9 +128,9 @@
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
-	d := &Duty{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(IDOf(cfg.Self)))), self: IDOf(cfg.Self), inc: max(cfg.Inc, 1), byID: make(map[ID]*peer), byNod: make(map[ID]*node), dirty: true}
+	d := &Duty{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.id()))), self: cfg.id(), inc: max(cfg.Inc, 1), byID: make(map[ID]*peer), byNod: make(map[ID]*node), dirty: true}
 	for _, p := range cfg.Peers {
-		q := &peer{Peer: p, id: IDOf(p.Name)}
+		q := &peer{Peer: p, id: p.id()}
 		d.peers = append(d.peers, q)
 		d.byID[q.id] = q
 	}
@@ -139,6 +140,29 @@
 	return d, nil
 }
 
+// Carry has each note carry a part of somebody else's, who is told how many bytes there
+// are for it; nothing is added where the part is empty.
+func (d *Duty) Carry(part func(now time.Duration, room int) []byte) { d.part = part }
+
+// TellSome tells so many living peers, drawn, and those named, what there is to tell, as
+// far as the budget goes.
+func (d *Duty) TellSome(now time.Duration, n int, named ...string) (out Out) {
+	d.now = now
+	for _, name := range named {
+		for _, p := range d.peers {
+			if p.Name == name {
+				d.send(&out, p, Note{Kind: Tell})
+			}
+		}
+	}
+	if n > 0 {
+		for _, p := range d.some(n, nil) {
+			d.send(&out, p, Note{Kind: Tell})
+		}
+	}
+	return out
+}
+
 // Nodes takes the owner's list: only these are probed and told of.
 func (d *Duty) Nodes(now time.Duration, list []Node) {
 	d.now = now
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -115,7 +115,7 @@
 	cfg.Self, cfg.Zone, cfg.Seed, cfg.Inc = c.name, c.zone, w.started, w.started<<20
 	for _, p := range w.cars {
 		if p != c {
-			cfg.Peers = append(cfg.Peers, Peer{p.name, p.zone})
+			cfg.Peers = append(cfg.Peers, Peer{Name: p.name, Zone: p.zone})
 		}
 	}
 	var err error
@@ -453,7 +453,10 @@
 		for range rapid.IntRange(0, newsMost).Draw(t, "news") {
 			n.News = append(n.News, News{ID(rapid.Uint32().Draw(t, "who")), rapid.Uint64().Draw(t, "inc"), Life(rapid.IntRange(0, 2).Draw(t, "life"))})
 		}
-		for range rapid.IntRange(0, Room(len(n.News), len(key) > 0)).Draw(t, "found") {
+		if most := min(PartMost, room(len(n.News), len(key) > 0)-1); rapid.Bool().Draw(t, "part") {
+			n.Part = rapid.SliceOfN(rapid.Byte(), 1, most).Draw(t, "bytes")
+		}
+		for range rapid.IntRange(0, n.room(len(key) > 0)).Draw(t, "found") {
 			n.Found = append(n.Found, Found{ID(rapid.Uint32().Draw(t, "node")), State(rapid.IntRange(0, 3).Draw(t, "state")), time.Duration(rapid.IntRange(0, ageMost).Draw(t, "age")) * ageUnit})
 		}
 		b := n.Append(nil, key)
@@ -472,6 +475,8 @@
 func FuzzParse(f *testing.F) {
 	n := Note{Kind: Ping, From: 1, Inc: 2, Seq: 3, News: []News{{1, 2, Dead}}, Found: []Found{{1, Silent, time.Second}}}
 	f.Add(n.Append(nil, nil))
+	n.Part = []byte("of others")
+	f.Add(n.Append(nil, nil))
 	f.Add([]byte{1, 0})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		n, err := Parse(b, nil)
@@ -481,7 +486,7 @@
 		if again := n.Append(nil, nil); !bytes.Equal(again, b) {
 			t.Errorf("% x was read, and is % x", b, again)
 		}
-		d, _ := New(func() Config { c := Default(); c.Self, c.Peers = "a", []Peer{{"b", ""}}; return c }())
+		d, _ := New(func() Config { c := Default(); c.Self, c.Peers = "a", []Peer{{Name: "b"}}; return c }())
 		n.From = IDOf("b")
 		d.Receive(time.Second, n)
 	})
@@ -491,7 +496,7 @@
 // refuted by a later incarnation; a restart is told from an old note.
 func TestIncarnations(t *testing.T) {
 	cfg := Default()
-	cfg.Self, cfg.Peers, cfg.Inc = "a", []Peer{{"b", ""}, {"c", ""}}, 100
+	cfg.Self, cfg.Peers, cfg.Inc = "a", []Peer{{Name: "b"}, {Name: "c"}}, 100
 	d, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
@@ -539,7 +544,7 @@
 // sign of life that it is; a later start begins anew. Clocks may differ by any amount.
 func TestLateNote(t *testing.T) {
 	cfg := Default()
-	cfg.Self, cfg.Peers = "a", []Peer{{"b", ""}}
+	cfg.Self, cfg.Peers = "a", []Peer{{Name: "b", Zone: ""}}
 	d, _ := New(cfg)
 	const hour = time.Hour
 	d.Nodes(hour, []Node{{"n", ""}})
@@ -573,7 +578,7 @@
 // was told.
 func TestFindings(t *testing.T) {
 	cfg := Default()
-	cfg.Self, cfg.Peers = "a", []Peer{{"b", ""}}
+	cfg.Self, cfg.Peers = "a", []Peer{{Name: "b", Zone: ""}}
 	d, _ := New(cfg)
 	d.Nodes(10*time.Second, []Node{{"n", ""}})
 	d.Receive(20*time.Second, &Note{From: IDOf("b"), Inc: 1, Found: []Found{{IDOf("n"), Silent, 3 * time.Second}, {IDOf("other"), Silent, 0}}})
@@ -608,7 +613,7 @@
 		{"per_node", func(c *Config) { c.PerNode = 1 }}, {"notes", func(c *Config) { c.Notes = 1 }}, {"remember", func(c *Config) { c.Remember = 0 }},
 	} {
 		cfg := Default()
-		cfg.Self, cfg.Peers = "a", []Peer{{"b", ""}}
+		cfg.Self, cfg.Peers = "a", []Peer{{Name: "b", Zone: ""}}
 		c.change(&cfg)
 		if err := cfg.Validate(); err == nil || !strings.Contains(err.Error(), "duty: "+c.field+":") {
 			t.Errorf("%s: %v", c.field, err)
--- a/internal/duty/note.go
+++ b/internal/duty/note.go
@@ -22,6 +22,9 @@
 
 const (
 	noteVersion = 1
+	// partVersion is of notes that carry a part of somebody else's: behind the findings its
+	// length, and the part.
+	partVersion = 2
 	headLen     = 1 + 1 + 4 + 8 + 4 + 4 + 4 + 1 + 1
 	newsLen     = 4 + 8 + 1
 	foundLen    = 4 + 2
@@ -107,8 +110,12 @@
 	Sent  uint32 // when, in milliseconds of its sender's own clock, which wraps
 	News  []News
 	Found []Found
+	Part  []byte // of somebody else's; empty: none
 }
 
+// PartMost is the longest part, in bytes: findings need room too.
+const PartMost = 150
+
 // Errors of a note that can't be read. They are not told to its sender.
 var (
 	ErrNote = errors.New("duty: not a note")
@@ -116,12 +123,24 @@
 )
 
 // Room is how many findings fit beside so many news.
-func Room(news int, tagged bool) int {
+func Room(news int, tagged bool) int { return room(news, tagged) / foundLen }
+
+// room is how many bytes are left beside so many news.
+func room(news int, tagged bool) int {
 	left := NoteMost - headLen - news*newsLen
 	if tagged {
 		left -= tagLen
 	}
-	return left / foundLen
+	return left
+}
+
+// room is how many findings a note has room for.
+func (n *Note) room(tagged bool) int {
+	left := room(min(len(n.News), newsMost), tagged)
+	if len(n.Part) > 0 {
+		left -= 1 + len(n.Part)
+	}
+	return max(0, left/foundLen)
 }
 
 // Append writes a note behind b, with a tag where there is a key. What does not fit is a
@@ -129,8 +148,12 @@
 func (n *Note) Append(b []byte, key []byte) []byte {
 	begin := len(b)
 	news := n.News[:min(len(n.News), newsMost)]
-	found := n.Found[:min(len(n.Found), Room(len(news), len(key) > 0))]
-	b = append(b, noteVersion, byte(n.Kind))
+	found := n.Found[:min(len(n.Found), n.room(len(key) > 0))]
+	version := byte(noteVersion)
+	if len(n.Part) > 0 {
+		version = partVersion
+	}
+	b = append(b, version, byte(n.Kind))
 	b = binary.BigEndian.AppendUint32(b, uint32(n.From))
 	b = binary.BigEndian.AppendUint64(b, n.Inc)
 	b = binary.BigEndian.AppendUint32(b, n.Seq)
@@ -147,6 +170,9 @@
 		age := min(max((f.Age+ageUnit-1)/ageUnit, 0), ageMost) // never younger than it is
 		b = binary.BigEndian.AppendUint16(b, uint16(f.State)<<13|uint16(age))
 	}
+	if len(n.Part) > 0 {
+		b = append(append(b, byte(len(n.Part))), n.Part...)
+	}
 	if len(key) > 0 {
 		b = append(b, tag(b[begin:], key)...)
 	}
@@ -171,13 +197,20 @@
 		}
 		b = b[:cut]
 	}
-	if b[0] != noteVersion || b[1] >= byte(kinds) {
+	if b[0] != noteVersion && b[0] != partVersion || b[1] >= byte(kinds) {
 		return nil, ErrNote
 	}
 	n := &Note{Kind: Kind(b[1]), From: ID(binary.BigEndian.Uint32(b[2:])), Inc: binary.BigEndian.Uint64(b[6:]), Seq: binary.BigEndian.Uint32(b[14:]), Whom: ID(binary.BigEndian.Uint32(b[18:])), Sent: binary.BigEndian.Uint32(b[22:])}
 	news, found := int(b[26]), int(b[27])
-	if news > newsMost || len(b) != headLen+news*newsLen+found*foundLen {
+	size := headLen + news*newsLen + found*foundLen
+	if news > newsMost || len(b) < size {
+		return nil, ErrNote
+	}
+	switch part := b[size:]; {
+	case b[0] == noteVersion && len(part) > 0, b[0] == partVersion && (len(part) < 2 || len(part) > PartMost+1 || int(part[0]) != len(part)-1):
 		return nil, ErrNote
+	case b[0] == partVersion:
+		n.Part = part[1:]
 	}
 	b = b[headLen:]
 	for range news {
--- a/internal/duty/signs.go
+++ b/internal/duty/signs.go
@@ -110,7 +110,10 @@
 		p.told--
 		n.News = append(n.News, News{p.id, p.inc, p.life})
 	}
-	n.Found = d.findings(Room(len(n.News), d.cfg.Keyed))
+	if d.part != nil {
+		n.Part = d.part(d.now, min(PartMost, room(len(n.News), d.cfg.Keyed)-1))
+	}
+	n.Found = d.findings(n.room(d.cfg.Keyed))
 	d.counts.Notes++
 	out.Notes = append(out.Notes, Outgoing{to.Name, n})
 }
--- a/internal/features/duty.go
+++ b/internal/features/duty.go
@@ -10,10 +10,11 @@
 // configuration names as peers. Package duty says what the fields mean.
 type Duty struct {
 	Enabled  bool              `toml:"enabled"`
-	Zones    map[string]string `toml:"zones"` // of peers, by their addresses; all or none
-	Key      Secret            `toml:"key"`   // of the tags that notes carry; empty: none
-	Path     string            `toml:"path"`  // that is probed
-	Slow     duration.Duration `toml:"slow"`  // a probe that takes longer finds a node slow
+	Probing  bool              `toml:"probing"` // false: notes only, nobody is probed
+	Zones    map[string]string `toml:"zones"`   // of peers, by their addresses; all or none
+	Key      Secret            `toml:"key"`     // of the tags that notes carry; empty: none
+	Path     string            `toml:"path"`    // that is probed
+	Slow     duration.Duration `toml:"slow"`    // a probe that takes longer finds a node slow
 	Timeout  duration.Duration `toml:"timeout"`
 	Watchers int               `toml:"watchers"`
 	Every    duration.Duration `toml:"every"`
@@ -30,7 +31,7 @@
 }
 
 func dutyDefault() Duty {
-	return Duty{Path: "/ping", Slow: duration.Duration(100 * time.Millisecond), Timeout: duration.Duration(500 * time.Millisecond),
+	return Duty{Probing: true, Path: "/ping", Slow: duration.Duration(100 * time.Millisecond), Timeout: duration.Duration(500 * time.Millisecond),
 		Watchers: 2, Every: duration.Duration(2 * time.Second), Step: duration.Duration(500 * time.Millisecond), Period: duration.Duration(time.Second),
 		AckWait: duration.Duration(200 * time.Millisecond), Helpers: 3, Suspect: duration.Duration(4 * time.Second), Spread: 3, Probes: 20, PerNode: 4, Notes: 20,
 		Remember: duration.Duration(10 * time.Second)}
--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -40,6 +40,8 @@
 	Level Level `toml:"level"`
 	// Duty is shared probing.
 	Duty Duty `toml:"duty"`
+	// Zones is leaving zones that fail.
+	Zones Zones `toml:"zones"`
 	// Listeners are further addresses for clients.
 	Listeners []Listener `toml:"listeners"`
 	// Pools are further servers, Routes say which requests go to which of them.
@@ -66,7 +68,7 @@
 
 // Default is a file that says nothing.
 func Default() *File {
-	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault(), Config: configDefault(), Weights: weightsDefault(), Duty: dutyDefault()}
+	return &File{Version: Version, Radius: radiusDefault(), Bodies: bodiesDefault(), Config: configDefault(), Weights: weightsDefault(), Duty: dutyDefault(), Zones: zonesDefault()}
 }
 
 // Problem is one complaint about a file.
@@ -148,6 +150,7 @@
 	f.Weights.check(c)
 	f.Level.check(c)
 	f.Duty.check(c)
+	f.Zones.check(c, f)
 	f.checkRoutes(c)
 	c.need(f.Admin.Socket == "" || len(f.Admin.Socket) <= socketMost, "admin.socket", "must be %d bytes long at most", socketMost)
 }
--- /dev/null
+++ b/internal/fleet/zones_test.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkrack/internal/duration"
+)
+
+// zoned are the settings of a fleet that leaves zones. @SOCKET@ is each sidecar's own.
+const zoned = `[admin]
+socket = "@SOCKET@"
+[duty]
+enabled = true
+probing = false
+key = "of the fleet"
+[zones]
+enabled = true
+dwell = "1s"
+proof = "500ms"
+`
+
+// leaving is a shipped schedule, shortened: its first fault lasts so long, and the run so
+// much longer.
+func leaving(t *testing.T, name string, fault, after time.Duration) *Schedule {
+	s := shipped(t, name)
+	s.Features = zoned
+	for n := range s.Faults {
+		if s.Faults[n].For > duration.Duration(fault) {
+			s.Faults[n].For = duration.Duration(fault)
+		}
+	}
+	s.Length = duration.Duration(2*time.Second + fault + after)
+	return s
+}
+
+// stage is a line of a sidecar's log.
+type stageLine struct {
+	at             time.Duration
+	who            Party
+	zone, from, to string
+	why            string
+}
+
+func (h *History) stageLines() (all []stageLine) {
+	for _, e := range h.Events {
+		if e.Kind != Logged || !strings.Contains(e.What, "msg=zone ") {
+			continue
+		}
+		l := stageLine{at: e.At, who: e.Who}
+		for name, to := range map[string]*string{"zone": &l.zone, "from": &l.from, "to": &l.to} {
+			_, rest, _ := strings.Cut(e.What, " "+name+"=")
+			if quoted, ok := strings.CutPrefix(rest, `"`); ok {
+				*to, _, _ = strings.Cut(quoted, `"`)
+			} else {
+				*to, _, _ = strings.Cut(rest, " ")
+			}
+		}
+		_, l.why, _ = strings.Cut(e.What, " why=")
+		all = append(all, l)
+	}
+	return all
+}
+
+// leftBy is who told that it left a zone, and when first.
+func (h *History) leftBy(zone, how string) map[Party]time.Duration {
+	all := make(map[Party]time.Duration)
+	for _, l := range h.stageLines() {
+		if _, known := all[l.who]; l.zone == zone && l.to == how && !known {
+			all[l.who] = l.at
+		}
+	}
+	return all
+}
+
+// outWithin is the stated time for all to be out, with what a slow machine adds.
+const outWithin = 2*time.Second + 700*time.Millisecond
+
+// The whole of it over real processes: a zone vanishes, and dies with resets. All are out
+// within the stated time, those with hardly a call too; few calls are lost; few go first
+// when it is back, and then all.
+func TestFleetLeavesAndReturns(t *testing.T) {
+	for _, name := range []string{"zone-vanishes", "zone-dies"} {
+		t.Run(name, func(t *testing.T) {
+			s := leaving(t, name, 1500*time.Millisecond, 12*time.Second)
+			s.Quiet = 2
+			h := play(t, s)
+			l := h.Leavings()[0]
+			out := h.leftBy("a", "out")
+			for n := range 12 {
+				if at, ok := out[sidecarParty(n)]; !ok || at > l.From+outWithin {
+					t.Errorf("sidecar %d left %v after the fault: %v", n+1, at-l.From, ok)
+				}
+			}
+			if l.Lost*20 > l.Asked {
+				t.Errorf("%d of %d calls not served", l.Lost, l.Asked)
+			}
+			back := h.leftBy("a", "all")
+			if len(back) != 12 {
+				t.Errorf("%d returned", len(back))
+			}
+			for _, other := range []string{"b", "c"} {
+				if n := len(h.leftBy(other, "out")); n > 0 {
+					t.Errorf("%d left zone %s", n, other)
+				}
+			}
+			// Before anybody held that all may go, one sidecar after the other sent there.
+			first := time.Duration(1 << 62)
+			for _, at := range back {
+				first = min(first, at)
+			}
+			perSecond := make(map[time.Duration]int)
+			for _, a := range h.Attempts() {
+				if a.Zone == "a" && a.At > l.To && a.At < first-100*time.Millisecond {
+					perSecond[a.At/time.Second]++
+				}
+			}
+			for s, n := range perSecond { // a quarter of what three servers bear, and two for each of three
+				if n > 15+6 {
+					t.Errorf("second %d: %d sends before all may", s, n)
+				}
+			}
+		})
+	}
+}
+
+// What is no failing zone for the fleet: half of it is cut off, one has a bad link, all
+// zones fail alike. Nobody leaves but those who are cut off, and they alone.
+func TestNoFalseDeparture(t *testing.T) {
+	for name, cut := range map[string]int{"half-cut": 6, "bad-link": 1, "all-zones": 0} {
+		t.Run(name, func(t *testing.T) {
+			h := play(t, leaving(t, name, 3*time.Second, time.Second))
+			for _, z := range []string{"a", "b", "c"} {
+				if by := h.leftBy(z, "out"); len(by) > 0 {
+					t.Errorf("zone %s was left by %v", z, by)
+				}
+			}
+			alone := h.leftBy("a", "left alone")
+			for who := range alone {
+				var n int
+				fmt.Sscanf(string(who), "sidecar:%d", &n)
+				if n > cut {
+					t.Errorf("%s is not cut off and left alone", who)
+				}
+			}
+			if cut > 0 && len(alone) == 0 {
+				t.Error("nobody that is cut off left alone")
+			}
+		})
+	}
+}
+
+// Sidecars are killed and started again while the fleet leaves and after: each holds the
+// fleet's stage soon after its start, and sends nothing there until the fleet does.
+func TestRestartsTakeTheFleetsStage(t *testing.T) {
+	s := leaving(t, "restarts", 5*time.Second, 500*time.Millisecond)
+	s.Features = strings.Replace(zoned, `dwell = "1s"`, `dwell = "20s"`+"\n"+`dwell_most = "1m"`, 1)
+	h := play(t, s)
+	started := make(map[Party]time.Duration)
+	for _, e := range h.Events {
+		if e.Kind == Process && e.What == "serves" {
+			started[e.Who] = e.At
+		}
+	}
+	if len(started) != 4 {
+		t.Fatalf("%d started again", len(started))
+	}
+	for who, at := range started {
+		for _, a := range h.Attempts() {
+			if a.By == who && a.Zone == "a" && a.At > at+1500*time.Millisecond {
+				t.Errorf("%s serves since %v and sends to zone a at %v", who, at, a.At)
+				break
+			}
+		}
+	}
+}
+
+// An order to leave reaches all, through a fleet that hears half of the notes only; the
+// later order wins everywhere.
+func TestOrdersReachAll(t *testing.T) {
+	s := shipped(t, "zone-vanishes")
+	s.Features, s.Length = zoned, duration.Duration(9*time.Second)
+	order := func(at time.Duration, on, action string) Fault {
+		return Fault{At: duration.Duration(at), Kind: Deed, On: on, Name: "zones/order", With: `{"zone":"b","action":"` + action + `","who":"kim","reason":"a test"}`}
+	}
+	s.Faults = []Fault{{At: 0, Kind: Loss, From: "sidecars", To: "sidecars", Share: 0.5},
+		order(1500*time.Millisecond, "sidecar:3", "leave"), order(5*time.Second, "sidecar:9", "return")}
+	h := play(t, s)
+	left, back := h.leftBy("b", "out"), h.leftBy("b", "1/64")
+	for n := range 12 {
+		who := sidecarParty(n)
+		if at, ok := left[who]; !ok || at > 1500*time.Millisecond+outWithin {
+			t.Errorf("%s left at %v, %v", who, at, ok)
+		}
+		if at, ok := back[who]; !ok || at < 5*time.Second {
+			t.Errorf("%s began its return at %v, %v", who, at, ok)
+		}
+	}
+	for _, e := range h.Events {
+		if e.Kind == Process && strings.HasPrefix(e.What, "deed") && !strings.HasSuffix(e.What, "done") {
+			t.Error(e.What)
+		}
+	}
+}
+
+// Without the section nothing is sent among sidecars, and no zone is left.
+func TestOffByDefault(t *testing.T) {
+	s := leaving(t, "zone-vanishes", 2*time.Second, 500*time.Millisecond)
+	s.Features = "[admin]\nsocket = \"@SOCKET@\"\n"
+	h := play(t, s)
+	for _, e := range h.Events {
+		if e.Kind == Figure && e.What == "notes" && e.Value > 0 {
+			t.Errorf("%s sent %v notes", e.Who, e.Value)
+		}
+	}
+	if lines := h.stageLines(); len(lines) > 0 {
+		t.Errorf("%+v", lines)
+	}
+}
