--- a/internal/evacuation/stages.go
+++ b/internal/evacuation/stages.go
@@ -104,6 +104,10 @@
 
 // returning goes on with a zone that was left.
 func (m *Machine) returning(z *zone) {
+	if m.left(z) {
+		m.move(z, All, "the others are all back")
+		return
+	}
 	if z.rec.Stage == Out {
 		if len(z.servers) > 0 && m.now-z.since >= m.dwell(int(z.rec.Fails)) {
 			m.move(z, First, "it has been out for long enough")
@@ -142,6 +146,27 @@
 	}
 }
 
+// left says that this one is alone with its stage: most of those that are heard use the
+// zone. Guards against one whose record went on alone, in a partition or by an order that
+// crossed another: it is later than theirs, so it would never take theirs, nor they its.
+func (m *Machine) left(z *zone) bool {
+	if z.vote == Failing || m.now-z.since < max(heardFor, m.proof(z)) {
+		return false
+	}
+	heard, back := 0, 0
+	for n := range m.peers {
+		p := &m.peers[n]
+		if n == m.cfg.Self || !m.fresh(p) {
+			continue
+		}
+		heard++
+		if w, ok := p.words[z.id]; ok && w.rec.Stage == All {
+			back++
+		}
+	}
+	return back >= m.need() && 2*back > heard
+}
+
 // proof is how long a stage lasts at least: longer after relapses, up to the dwell's bound.
 func (m *Machine) proof(z *zone) time.Duration {
 	return min(m.cfg.Proof<<min(z.rec.Fails/2, 6), m.cfg.DwellMost)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -23,6 +23,7 @@
 // Node is a server.
 type Node struct {
 	Name  string
+	Zone  string
 	Speed float64
 	Cores int
 	Room  int     // requests that wait; more are turned away
@@ -47,6 +48,9 @@
 	InStep   bool                           // the others come at the next whole second, all together
 	Begin    func(*Sidecar)                 // told of each before it hears of servers
 	Discover func(*Sidecar)                 // told of each call for the list; nil: nobody is
+	// Sent and Ended are told of each attempt, as core.Watch is; nil: nobody is.
+	Sent  func(s *Sidecar, node string) (ticket uint64)
+	Ended func(s *Sidecar, ticket uint64, o chalkrack.Outcome)
 }
 
 // Second is what happened in one second, by class where it says so.
@@ -121,6 +125,9 @@
 	return x
 }
 
+// dialWait is how long a connection may take to come up.
+const dialWait = 250 * time.Millisecond
+
 // onWire is the way between two machines.
 const onWire = 500 * time.Microsecond
 
@@ -135,7 +142,7 @@
 	var list []chalkrack.Endpoint
 	for _, n := range cfg.Nodes {
 		l.nodes[n.Name] = &machine{lab: l, Node: n}
-		list = append(list, chalkrack.Endpoint{Name: n.Name, Hint: 1})
+		list = append(list, chalkrack.Endpoint{Name: n.Name, Zone: n.Zone, Hint: 1})
 	}
 	for n := range cfg.Sidecars {
 		s := &Sidecar{Lab: l, Index: n, calls: make(map[chalkrack.RequestID]*call), out: make(map[string]int), conns: make(map[string]int)}
@@ -287,11 +294,18 @@
 	s.conns[server] = max(s.conns[server], s.out[server])
 	done := false
 	sent := l.Now
+	ticket := uint64(0)
+	if l.cfg.Sent != nil {
+		ticket = l.cfg.Sent(s, server)
+	}
 	end := func(o chalkrack.Outcome) {
 		if done {
 			return
 		}
 		done = true
+		if l.cfg.Ended != nil {
+			l.cfg.Ended(s, ticket, o)
+		}
 		q.out--
 		s.out[server]--
 		s.Ended++
@@ -314,6 +328,10 @@
 	work := time.Duration((0.2 + 0.8*l.Rand.ExpFloat64()) * float64(class.Work))
 	l.After(onWire, func() {
 		m := l.nodes[server]
+		if m.gone { // no connection comes up
+			l.After(dialWait, func() { end(chalkrack.ConnectFailed) })
+			return
+		}
 		if m.arrived(); m.Fails > 0 && l.Rand.Float64() < m.Fails {
 			l.After(onWire, func() { end(chalkrack.ServerError) })
 			return
@@ -383,6 +401,9 @@
 	}
 }
 
+// Vanish has a node's machine gone, or back: no connection to it comes up meanwhile.
+func (l *Lab) Vanish(node string, gone bool) { l.nodes[node].gone = gone }
+
 // Fail has a node answer a share of its calls with errors from now on.
 func (l *Lab) Fail(node string, share float64) { l.nodes[node].Fails = share }
 
@@ -393,6 +414,7 @@
 	lab     *Lab
 	busy    int
 	waiting []func()
+	gone    bool
 }
 
 func (m *machine) arrived() {
