The daemon's Run lists its parts; an upgrade hands zones over

Run wired thirteen subsystems in one function of 230 lines. It lists them now in the order in which they start, each a method of its own, and they end the other way round; nothing else changes in what they do. Ticks come to the one goroutine of serve as before.

A process that starts beside the one before waits for its port for notes, which had ended the start, and takes up the records and orders of zones that the other holds.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 package daemon
 
 import (
-	"fmt"
 	"log/slog"
 	"math"
 	"net"
@@ -12,16 +11,9 @@
 	"runtime/debug"
 	"time"
 
-	"chalkrack/internal/admin"
-	"chalkrack/internal/body"
 	"chalkrack/internal/core"
-	"chalkrack/internal/discovery"
-	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
-	"chalkrack/internal/maintenance"
-	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
-	"chalkrack/internal/upstream"
 )
 
 const (
@@ -69,231 +61,32 @@
 
 // Run serves until term, and then until all that was taken is answered. At each hup
 // it reads the configuration anew. ready is told the address once it serves; nil: nobody.
+//
+// What it is made of stands here in the order in which it starts; it ends the other way
+// round.
 func Run(c *Config, term, hup <-chan os.Signal, ready func(net.Addr)) error {
-	if c.store != nil {
-		defer c.store.Close()
-	}
-	store, err := newStore(c)
-	var long *body.Store // nil: store has the long ones too
-	if err == nil && store == nil {
-		long, err = newLong(c)
-	}
-	if err != nil {
-		return err
-	}
-	conns := c.sockets - socketsSpare - connectionsOf(c) - dutyConns(c) - managementConns(c)
-	if store != nil {
-		defer store.Close()
-		conns -= filesOf(c)
-	} else {
-		defer long.Close()
-	}
-	// A call holds one connection of each side. With a third for the servers' side a busy
-	// sidecar of 256 descriptors threw idle connections to 60 servers out for new ones.
-	side := conns / 2
-	fig := figures.New(c.settings.Names())
-	pool := upstream.New(upstream.Config{
-		ConnIdle:    c.settings.ConnIdle,
-		DialTimeout: c.settings.DialTimeout,
-		DrainGrace:  c.settings.DrainGrace,
-		MostConns:   side,
-		// Half of the shortest aim is left for another attempt.
-		Stall:     c.settings.ShortestAim() / 2,
-		Forwarded: fig.Forwarded,
-	})
-	watcher := &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
-	if c.asks {
-		watcher.Wait = askWait
-	}
-	if c.known != nil {
-		c.known.Whole = true
-		watcher.Track = membership.Holding(c.known)
-	}
-	zoned, err := newZoned(c)
-	if err != nil {
-		return err
-	}
-	host, err := core.New(core.Config{Watch: watchOf(zoned), First: generationOf(c, c.id()), Seed: c.seed, Transport: pool, Directory: watcher, Story: stories(c)})
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	plan, err := newWeighted(c, host)
-	if err != nil {
-		return err
-	}
-	tell, steps := host.Listed, new(time.Ticker)
-	if plan != nil {
-		tell, steps = plan.listed, time.NewTicker(time.Duration(c.Features.Weights.Every))
-		defer steps.Stop()
-	}
-	shared, err := newDuties(c, host)
-	if err != nil {
-		return err
-	}
-	defer shared.close()
-	if shared != nil {
-		next := tell
-		tell = func(l *membership.List) {
-			shared.listed(l)
-			next(l)
-		}
-	}
-	tell = zone(zoned, host, shared, tell)
-	shared.begin()
-	ops := &operation{host: host, fig: fig, tell: tell, pool: pool, set: maintenance.New(), limits: limits{c.heapMost(), side, c.shortMost()}}
-	ops.enter(c)
-	defer ops.close()
-	watcher.Listed, watcher.Failed = ops.listed, host.DiscoveryFailed
-	defer pool.Close()
-	defer host.Close()
-	defer watcher.Close()
-	if c.known != nil {
-		ops.listed(c.known)
-	}
-	if zoned != nil {
-		zoned.Begin()
-		defer zoned.Close()
-	}
-	var terminals *proxy.Proxy // nil: off
-	if c.Features.Radius.Enabled {
-		terminals, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Base: c.settings.Config, Grace: c.settings.DrainGrace, Seed: c.seed})
-		if err != nil {
+	s := &sidecar{c: c, term: term, hup: hup}
+	defer s.close()
+	for _, start := range []func() error{
+		s.bodies,
+		s.core,    // with transport, discovery and figures
+		s.weights, // between discovery and the core, as the next three
+		s.duty,
+		s.zones,
+		s.operation,
+		s.radius,
+		s.routing,
+		s.front,
+		s.management,
+		s.levels,
+		s.changes,
+		s.admin,
+	} {
+		if err := start(); err != nil {
 			return err
 		}
-		defer terminals.Close()
-		slog.Info("radius", "access", terminals.Addr(false), "accounting", terminals.Addr(true))
-	}
-	routes, err := newRouting(c)
-	if err != nil {
-		return err
-	}
-	defer routes.close()
-	ln, err := listener(c)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	srv := front.New(front.Config{MostConns: side, MostBody: c.shortMost(), Bodies: frontBodies(c, store), Long: frontLong(c, long), TellConfig: c.store != nil, Choose: routes.chooser(), Figures: fig}, host)
-	ops.srv = srv
-	calls, err := ops.manage(c)
-	if err != nil {
-		ln.Close()
-		return err
-	}
-	if calls != nil {
-		defer calls.Close()
-	}
-	ops.inherit()
-	less, err := newReduced(c, host, srv, pool, side)
-	if err != nil {
-		return err
-	}
-	levels := new(time.Ticker) // never
-	if less != nil {
-		levels = time.NewTicker(levelTick)
-		defer levels.Stop()
-	}
-	changes := newChanger(c, host, pool, srv, watcher, ln)
-	changes.fig = fig
-	defer changes.close()
-	if path := c.Features.Admin.Socket; path != "" {
-		all := pages(c, host, srv, pool, store)
-		if routes != nil {
-			all["pools"] = func() any { return routes.status() }
-			all["listeners"] = func() any { return routes.addresses() }
-		}
-		if plan != nil {
-			all["weights"] = func() any { return plan.view() }
-		}
-		if shared != nil {
-			all["duty"] = func() any { return shared.view() }
-		}
-		if zoned != nil {
-			all["zones"] = zoned.View
-		}
-		deeds := changes.pages(all)
-		if deeds == nil {
-			deeds = make(map[string]admin.Deed)
-		}
-		deeds["operate"] = ops.deed
-		if zoned != nil {
-			deeds["zones/order"] = zoned.Deed
-		}
-		if less != nil {
-			less.pages(all, deeds)
-		}
-		operators, err := admin.Listen(path, all, deeds)
-		if err != nil {
-			return err
-		}
-		defer operators.Close()
-	}
-	if c.inherited == 0 {
-		go srv.Serve(ln)
-	}
-	routes.serve(srv)
-
-	if !c.asks {
-		listed := make(chan struct{}, 1)
-		watcher.Listed = func(l *membership.List) {
-			ops.listed(l)
-			select {
-			case listed <- struct{}{}:
-			default:
-			}
-		}
-		go watcher.Follow()
-		select {
-		case <-listed:
-		case <-time.After(listMost):
-		case <-term:
-			ops.quit()
-			quit(changes, host, srv, routes, terminals)
-			return nil
-		}
-	}
-	if c.inherited > 0 {
-		// Not before: what another process of this sidecar can serve is its.
-		go srv.Serve(ln)
-	}
-	ops.serve()
-	slog.Info("ready", "listen", c.listen)
-	if ready != nil {
-		ready(ln.Addr())
-	}
-
-	sweep := time.NewTicker(sweepEach)
-	defer sweep.Stop()
-	ruling := new(time.Ticker) // never
-	if changes.on() {
-		ruling = time.NewTicker(ruleEach)
-		defer ruling.Stop()
-	}
-	for {
-		select {
-		case now := <-sweep.C:
-			pool.Sweep(now)
-			routes.sweep(now)
-			// Guards against memory that seems to grow for minutes: a quiet sidecar
-			// makes so little garbage that its heap climbs all day to the first collection.
-			runtime.GC()
-		case <-hup:
-			changes.reload()
-			plan.reload()
-		case now := <-levels.C:
-			less.tick(now)
-		case now := <-steps.C:
-			plan.tick(now)
-		case a := <-changes.asks:
-			v, err := a.do()
-			a.reply <- answered{v, err}
-		case <-ruling.C:
-			changes.watch()
-		case <-term:
-			ops.quit()
-			quit(changes, host, srv, routes, terminals)
-			return nil
-		}
 	}
+	return s.serve(ready)
 }
 
 // stories is where the stories of calls go, nil if nobody asked for them.
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"chalkrack"
@@ -43,7 +45,8 @@
 type duties struct {
 	host  *core.Host
 	start time.Time
-	conn  *net.UDPConn
+	at    *net.UDPAddr
+	conn  atomic.Pointer[net.UDPConn] // nil: another process of this sidecar still has the port
 	key   []byte
 	path  string
 	slow  time.Duration
@@ -137,7 +140,12 @@
 			return nil, fmt.Errorf("config: peers: %w", err)
 		}
 	}
-	if s.conn, err = net.ListenUDP("udp", at); err != nil {
+	s.at = at
+	conn, err := net.ListenUDP("udp", at)
+	switch {
+	case err == nil:
+		s.conn.Store(conn)
+	case c.inherited == 0 || !errors.Is(err, syscall.EADDRINUSE): // else the process before has it, till it ends
 		return nil, fmt.Errorf("config: peer_listen: %w", err)
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -147,11 +155,38 @@
 // begin has it tell and hear. What its notes carry of others' is set before.
 func (s *duties) begin() {
 	if s != nil {
-		s.wg.Go(s.read)
+		s.wg.Go(func() {
+			if s.bind() {
+				s.read()
+			}
+		})
 		s.wg.Go(s.run)
 	}
 }
 
+// bindEach is how often a process tries to have the port that the one before it has.
+const bindEach = 50 * time.Millisecond
+
+// bind waits until the port is this process's; false: it ends.
+func (s *duties) bind() bool {
+	for s.conn.Load() == nil {
+		select {
+		case <-s.ctx.Done():
+			return false
+		case <-time.After(bindEach):
+		}
+		if conn, err := net.ListenUDP("udp", s.at); err == nil {
+			s.conn.Store(conn)
+			slog.Info("duty: the port for notes is free", "listen", s.at)
+		}
+	}
+	if s.ctx.Err() != nil { // close did not see it
+		s.conn.Load().Close()
+		return false
+	}
+	return true
+}
+
 // carry has notes carry a part of others', and hands what comes to them. It is called
 // before begin.
 func (s *duties) carries(part func(room int) []byte, heard func(number int, inc uint64, part []byte)) {
@@ -227,7 +262,7 @@
 func (s *duties) read() {
 	b := make([]byte, 2*duty.NoteMost)
 	for {
-		n, _, err := s.conn.ReadFromUDP(b)
+		n, _, err := s.conn.Load().ReadFromUDP(b)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -252,8 +287,12 @@
 
 func (s *duties) carry(out duty.Out) {
 	var b [duty.NoteMost]byte
+	conn := s.conn.Load()
 	for _, o := range out.Notes {
-		s.conn.WriteToUDP(o.Note.Append(b[:0], s.key), s.addrs[o.To])
+		if conn == nil {
+			break
+		}
+		conn.WriteToUDP(o.Note.Append(b[:0], s.key), s.addrs[o.To])
 	}
 	for _, name := range out.Probes {
 		s.mu.Lock()
@@ -348,7 +387,9 @@
 		return
 	}
 	s.stop()
-	s.conn.Close()
+	if conn := s.conn.Load(); conn != nil {
+		conn.Close()
+	}
 	s.wg.Wait()
 	s.http.CloseIdleConnections()
 }
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/evacuation"
 	"chalkrack/internal/handover"
 	"chalkrack/internal/maintenance"
 	"chalkrack/internal/membership"
@@ -24,8 +25,9 @@
 
 // learnt is what goes over to a new process.
 type learnt struct {
-	Memory chalkrack.Memory   `json:"memory"`
-	List   []membership.Entry `json:"list"` // as discovery said last
+	Memory chalkrack.Memory       `json:"memory"`
+	List   []membership.Entry     `json:"list"` // as discovery said last
+	Zones  []evacuation.ZoneState `json:"zones,omitempty"`
 }
 
 // done is what operators have done, by calls to any process of the sidecar.
@@ -77,6 +79,9 @@
 				o.listed(&membership.List{Whole: true, Entries: l.List})
 			}
 			o.host.Remember(l.Memory)
+			if o.zones != nil {
+				o.zones.Adopt(l.Zones)
+			}
 			slog.Info("learnt from the process before", "servers", len(l.List), "after", time.Since(began))
 		}
 	}
@@ -106,7 +111,11 @@
 		o.heed()
 		if o.serving.Load() && !o.quitting {
 			for _, who := range asking {
-				if err := o.folder.Tell(who, learnt{o.host.Memory(), o.set.List()}); err != nil {
+				l := learnt{Memory: o.host.Memory(), List: o.set.List()}
+				if o.zones != nil {
+					l.Zones = o.zones.State()
+				}
+				if err := o.folder.Tell(who, l); err != nil {
 					slog.Error("what was learnt can't be told", "err", err)
 				}
 			}
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -17,6 +17,7 @@
 	"chalkrack/internal/maintenance"
 	"chalkrack/internal/management"
 	"chalkrack/internal/membership"
+	"chalkrack/internal/rooms/zones"
 	"chalkrack/internal/upstream"
 )
 
@@ -55,6 +56,7 @@
 	tell func(*membership.List)
 	pool *upstream.Pool
 
+	zones  *zones.Zones // nil: off
 	limits limits
 	folder *handover.Folder // nil: no other process can be of this sidecar
 	ended  chan struct{}    // closed when attend has ended; nil: it never began
--- /dev/null
+++ b/internal/daemon/sidecar.go
@@ -0,0 +1,372 @@
+package daemon
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"slices"
+	"time"
+
+	"chalkrack/internal/admin"
+	"chalkrack/internal/body"
+	"chalkrack/internal/core"
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/figures"
+	"chalkrack/internal/front"
+	"chalkrack/internal/maintenance"
+	"chalkrack/internal/membership"
+	"chalkrack/internal/radius/proxy"
+	"chalkrack/internal/rooms/zones"
+	"chalkrack/internal/upstream"
+)
+
+// sidecar is a process's parts, as Run starts them one after the other. What is off is nil.
+type sidecar struct {
+	c         *Config
+	term, hup <-chan os.Signal
+	closers   []func() // in the order in which what they end was started
+
+	store, long *body.Store // where bodies are kept; long is nil where store has the long ones too
+	side        int         // connections of each side
+	fig         *figures.Figures
+	pool        *upstream.Pool
+	watcher     *discovery.Watcher
+	host        *core.Host
+	tell        func(*membership.List) // takes what discovery says, on its way to the core
+	plan        *weighted
+	shared      *duties
+	zoned       *zones.Zones
+	ops         *operation
+	terminals   *proxy.Proxy
+	routes      *routing
+	ln          net.Listener
+	srv         *front.Server
+	less        *reduced
+	changing    *changer
+
+	pages map[string]func() any // for operators
+	deeds map[string]admin.Deed
+	ticks []ticking
+}
+
+// ticking is something that is done at each tick, by the goroutine of serve.
+type ticking struct {
+	t  *time.Ticker
+	do func(now time.Time)
+}
+
+func (s *sidecar) closes(end func()) { s.closers = append(s.closers, end) }
+
+func (s *sidecar) close() {
+	for _, end := range slices.Backward(s.closers) {
+		end()
+	}
+}
+
+// every has something done each so often once the sidecar serves.
+func (s *sidecar) every(d time.Duration, do func(now time.Time)) {
+	t := time.NewTicker(d)
+	s.closes(t.Stop)
+	s.ticks = append(s.ticks, ticking{t, do})
+}
+
+// shows adds a page for operators.
+func (s *sidecar) shows(name string, page func() any) {
+	if s.pages == nil {
+		s.pages, s.deeds = make(map[string]func() any), make(map[string]admin.Deed)
+	}
+	s.pages[name] = page
+}
+
+func (s *sidecar) bodies() (err error) {
+	if s.c.store != nil {
+		s.closes(func() { s.c.store.Close() })
+	}
+	if s.store, err = newStore(s.c); err == nil && s.store == nil {
+		s.long, err = newLong(s.c)
+	}
+	if err != nil {
+		return err
+	}
+	conns := s.c.sockets - socketsSpare - connectionsOf(s.c) - dutyConns(s.c) - managementConns(s.c)
+	if s.store != nil {
+		s.closes(func() { s.store.Close() })
+		conns -= filesOf(s.c)
+	} else {
+		s.closes(func() { s.long.Close() })
+	}
+	// A call holds one connection of each side. With a third for the servers' side a busy
+	// sidecar of 256 descriptors threw idle connections to 60 servers out for new ones.
+	s.side = conns / 2
+	return nil
+}
+
+func (s *sidecar) core() (err error) {
+	c := s.c
+	s.fig = figures.New(c.settings.Names())
+	s.pool = upstream.New(upstream.Config{
+		ConnIdle:    c.settings.ConnIdle,
+		DialTimeout: c.settings.DialTimeout,
+		DrainGrace:  c.settings.DrainGrace,
+		MostConns:   s.side,
+		// Half of the shortest aim is left for another attempt.
+		Stall:     c.settings.ShortestAim() / 2,
+		Forwarded: s.fig.Forwarded,
+	})
+	s.watcher = &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
+	if c.asks {
+		s.watcher.Wait = askWait
+	}
+	if c.known != nil {
+		c.known.Whole = true
+		s.watcher.Track = membership.Holding(c.known)
+	}
+	if s.zoned, err = newZoned(c); err != nil {
+		return err
+	}
+	s.host, err = core.New(core.Config{Watch: watchOf(s.zoned), First: generationOf(c, c.id()), Seed: c.seed, Transport: s.pool, Directory: s.watcher, Story: stories(c)})
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	s.tell = s.host.Listed
+	return nil
+}
+
+func (s *sidecar) weights() (err error) {
+	if s.plan, err = newWeighted(s.c, s.host); err != nil || s.plan == nil {
+		return err
+	}
+	s.tell = s.plan.listed
+	s.every(time.Duration(s.c.Features.Weights.Every), s.plan.tick)
+	s.shows("weights", func() any { return s.plan.view() })
+	return nil
+}
+
+func (s *sidecar) duty() (err error) {
+	if s.shared, err = newDuties(s.c, s.host); err != nil || s.shared == nil {
+		return err
+	}
+	s.closes(s.shared.close)
+	next := s.tell
+	s.tell = func(l *membership.List) {
+		s.shared.listed(l)
+		next(l)
+	}
+	s.shows("duty", func() any { return s.shared.view() })
+	return nil
+}
+
+func (s *sidecar) zones() error {
+	if s.zoned != nil {
+		s.zoned.Stand(s.host, s.tell, s.shared.tellSome)
+		s.tell = s.zoned.Listed
+		s.shared.carries(s.zoned.Part, s.zoned.Heard)
+		s.host.SetZones(s.zoned)
+		s.shows("zones", s.zoned.View)
+		s.deeds["zones/order"] = s.zoned.Deed
+	}
+	s.shared.begin()
+	return nil
+}
+
+func (s *sidecar) operation() error {
+	c := s.c
+	s.ops = &operation{host: s.host, fig: s.fig, tell: s.tell, pool: s.pool, zones: s.zoned, set: maintenance.New(), limits: limits{c.heapMost(), s.side, c.shortMost()}}
+	s.ops.enter(c)
+	s.closes(s.ops.close)
+	s.watcher.Listed, s.watcher.Failed = s.ops.listed, s.host.DiscoveryFailed
+	s.closes(s.pool.Close)
+	s.closes(s.host.Close)
+	s.closes(s.watcher.Close)
+	if c.known != nil {
+		s.ops.listed(c.known)
+	}
+	if s.zoned != nil {
+		s.zoned.Begin()
+		s.closes(s.zoned.Close)
+	}
+	return nil
+}
+
+func (s *sidecar) radius() (err error) {
+	c := s.c
+	if !c.Features.Radius.Enabled {
+		return nil
+	}
+	s.terminals, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Base: c.settings.Config, Grace: c.settings.DrainGrace, Seed: c.seed})
+	if err != nil {
+		return err
+	}
+	s.closes(s.terminals.Close)
+	slog.Info("radius", "access", s.terminals.Addr(false), "accounting", s.terminals.Addr(true))
+	return nil
+}
+
+func (s *sidecar) routing() (err error) {
+	if s.routes, err = newRouting(s.c); err != nil {
+		return err
+	}
+	s.closes(s.routes.close)
+	if s.routes != nil {
+		s.shows("pools", func() any { return s.routes.status() })
+		s.shows("listeners", func() any { return s.routes.addresses() })
+	}
+	return nil
+}
+
+func (s *sidecar) front() (err error) {
+	c := s.c
+	if s.ln, err = listener(c); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.srv = front.New(front.Config{MostConns: s.side, MostBody: c.shortMost(), Bodies: frontBodies(c, s.store), Long: frontLong(c, s.long), TellConfig: c.store != nil, Choose: s.routes.chooser(), Figures: s.fig}, s.host)
+	s.ops.srv = s.srv
+	return nil
+}
+
+func (s *sidecar) management() error {
+	calls, err := s.ops.manage(s.c)
+	if err != nil {
+		s.ln.Close()
+		return err
+	}
+	if calls != nil {
+		s.closes(func() { calls.Close() })
+	}
+	s.ops.inherit()
+	return nil
+}
+
+func (s *sidecar) levels() (err error) {
+	if s.less, err = newReduced(s.c, s.host, s.srv, s.pool, s.side); err != nil || s.less == nil {
+		return err
+	}
+	s.every(levelTick, s.less.tick)
+	return nil
+}
+
+func (s *sidecar) changes() error {
+	s.changing = newChanger(s.c, s.host, s.pool, s.srv, s.watcher, s.ln)
+	s.changing.fig = s.fig
+	s.closes(s.changing.close)
+	if s.changing.on() {
+		s.every(ruleEach, func(time.Time) { s.changing.watch() })
+	}
+	return nil
+}
+
+func (s *sidecar) admin() error {
+	path := s.c.Features.Admin.Socket
+	if path == "" {
+		return nil
+	}
+	for name, page := range pages(s.c, s.host, s.srv, s.pool, s.store) {
+		s.shows(name, page)
+	}
+	for name, deed := range s.changing.pages(s.pages) {
+		s.deeds[name] = deed
+	}
+	s.deeds["operate"] = s.ops.deed
+	if s.less != nil {
+		s.less.pages(s.pages, s.deeds)
+	}
+	operators, err := admin.Listen(path, s.pages, s.deeds)
+	if err != nil {
+		return err
+	}
+	s.closes(func() { operators.Close() })
+	return nil
+}
+
+// serve serves until term.
+func (s *sidecar) serve(ready func(net.Addr)) error {
+	if s.c.inherited == 0 {
+		go s.srv.Serve(s.ln)
+	}
+	s.routes.serve(s.srv)
+	if !s.c.asks && !s.follow() {
+		s.quit()
+		return nil
+	}
+	if s.c.inherited > 0 {
+		// Not before: what another process of this sidecar can serve is its.
+		go s.srv.Serve(s.ln)
+	}
+	s.ops.serve()
+	slog.Info("ready", "listen", s.c.listen)
+	if ready != nil {
+		ready(s.ln.Addr())
+	}
+	s.every(sweepEach, func(now time.Time) {
+		s.pool.Sweep(now)
+		s.routes.sweep(now)
+		// Guards against memory that seems to grow for minutes: a quiet sidecar
+		// makes so little garbage that its heap climbs all day to the first collection.
+		runtime.GC()
+	})
+	due := make(chan func())
+	over := make(chan struct{})
+	defer close(over)
+	for _, k := range s.ticks {
+		go k.forward(due, over)
+	}
+	for {
+		select {
+		case do := <-due:
+			do()
+		case <-s.hup:
+			s.changing.reload()
+			s.plan.reload()
+		case a := <-s.changing.asks:
+			v, err := a.do()
+			a.reply <- answered{v, err}
+		case <-s.term:
+			s.quit()
+			return nil
+		}
+	}
+}
+
+// forward brings ticks to the goroutine of serve, one at a time.
+func (k ticking) forward(due chan<- func(), over <-chan struct{}) {
+	for {
+		select {
+		case now := <-k.t.C:
+			select {
+			case due <- func() { k.do(now) }:
+			case <-over:
+				return
+			}
+		case <-over:
+			return
+		}
+	}
+}
+
+// follow watches the list that comes unasked, and waits for a first one, not for long;
+// false: it is told to end.
+func (s *sidecar) follow() bool {
+	listed := make(chan struct{}, 1)
+	s.watcher.Listed = func(l *membership.List) {
+		s.ops.listed(l)
+		select {
+		case listed <- struct{}{}:
+		default:
+		}
+	}
+	go s.watcher.Follow()
+	select {
+	case <-listed:
+	case <-time.After(listMost):
+	case <-s.term:
+		return false
+	}
+	return true
+}
+
+func (s *sidecar) quit() {
+	s.ops.quit()
+	quit(s.changing, s.host, s.srv, s.routes, s.terminals)
+}
--- a/internal/daemon/zoned.go
+++ b/internal/daemon/zoned.go
@@ -8,7 +8,6 @@
 
 	"chalkrack/internal/core"
 	"chalkrack/internal/evacuation"
-	"chalkrack/internal/membership"
 	"chalkrack/internal/rooms/zones"
 )
 
@@ -60,15 +59,3 @@
 	}
 	return z
 }
-
-// zone puts z, where there is one, before what takes lists, has the notes of shared carry
-// its word, and the module ask it. It returns who takes lists now.
-func zone(z *zones.Zones, host *core.Host, shared *duties, next func(*membership.List)) func(*membership.List) {
-	if z == nil {
-		return next
-	}
-	z.Stand(host, next, shared.tellSome)
-	shared.carries(z.Part, z.Heard)
-	host.SetZones(z)
-	return z.Listed
-}
--- /dev/null
+++ b/internal/features/zones_test.go
@@ -0,0 +1,31 @@
+package features
+
+import (
+	"strings"
+	"testing"
+)
+
+// [zones] is off where nothing is said, and refused with the field's name where it can't be.
+func TestZones(t *testing.T) {
+	f, err := Parse("f.toml", nil)
+	if err != nil || f.Zones.Enabled || f.Duty.Enabled {
+		t.Fatalf("on by default: %v, %+v", err, f)
+	}
+	const duty = "[duty]\nenabled = true\nkey = \"hush\"\n"
+	if f, err = Parse("f.toml", []byte(duty+"[zones]\nenabled = true\n[zones.regions]\nwest = [\"a\", \"b\"]\n")); err != nil || !f.Zones.Enabled || len(f.Zones.Regions["west"]) != 2 {
+		t.Errorf("%v, %+v", err, f)
+	}
+	for text, want := range map[string]string{
+		"[zones]\nenabled = true\n":                                    "zones.enabled: needs duty.enabled",
+		"[duty]\nenabled = true\n[zones]\nenabled = true\n":            "zones.enabled: needs duty.key",
+		duty + "[zones]\nenabled = true\n[zones.regions]\nwest = []\n": "zones.regions.west: names no zone",
+		duty + "[zones.regions]\neast = [\"a\"]\nwest = [\"a\"]\n":     "zones.regions.west: zone \"a\" is in east too",
+		duty + "[zones.regions]\na = [\"a\", \"b\"]\n":                 "zones.regions.a: has the name of one of its zones",
+		"[zones]\npace = 3\n":                                          "zones.pace",
+		"[zones]\ndwell = \"soon\"\n":                                  "zones.dwell",
+	} {
+		if _, err := Parse("f.toml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "hush") {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
