Two that see a zone well hold the fleet there; what is new comes first to who errs

Handlings taken out one by one showed what no test noticed, and one that did not do what it said: three sidecars that saw a zone well did not keep six that were cut off from leading the whole fleet away, for two were not enough, and their word came after the decision.

Two are enough now, they answer the one that errs at once, and how much later than the first bad attempt theirs must have been sent follows the usual time of an answer. Ages in notes are rounded up and finer. Needless and gone: telling those that hold something older, a bound by the other zones only.

--- a/internal/evacuation/evidence.go
+++ b/internal/evacuation/evidence.go
@@ -140,7 +140,7 @@
 		return
 	}
 	if k == Good {
-		if took := now - a.sent; took > m.bound(a.to.zone) {
+		if took := now - a.sent; took > m.bound() {
 			k = Late
 		} else {
 			a.to.zone.took.add(float64(took))
@@ -176,34 +176,23 @@
 	}
 }
 
-// bound is how long an attempt to a zone may take before it is bad: by what is usual in
-// the others, so that a zone that slows down does not become its own measure.
-func (m *Machine) bound(z *zone) time.Duration {
+// bound is how long an attempt may take before it is bad: by what is usual in the quickest
+// zone, so that one that slows down does not become its own measure.
+func (m *Machine) bound() time.Duration {
 	usual := 0.0
 	for _, o := range m.zones {
-		if v := o.took.value(); o != z && v > 0 && (usual == 0 || v < usual) {
+		if v := o.took.value(); v > 0 && (usual == 0 || v < usual) {
 			usual = v
 		}
 	}
-	if usual == 0 {
-		usual = z.took.value()
-	}
 	return max(m.cfg.Silence, time.Duration(m.cfg.Slow*usual))
 }
 
 // overdue counts the attempts that have had no answer for too long, each once.
 func (m *Machine) overdue() {
-	bounds := make(map[*zone]time.Duration, len(m.zones))
+	bound := m.bound()
 	for ticket, a := range m.open {
-		if a.late {
-			continue
-		}
-		b, ok := bounds[a.to.zone]
-		if !ok {
-			b = m.bound(a.to.zone)
-			bounds[a.to.zone] = b
-		}
-		if m.now-a.sent <= b {
+		if a.late || m.now-a.sent <= bound {
 			continue
 		}
 		a.late = true
@@ -217,9 +206,10 @@
 // hopeless are the attempts to zones that fail, or were left, which have waited for half
 // of what makes one late: others can still be made for their calls. Each is told once.
 func (m *Machine) hopeless() (tickets []uint64) {
+	bound := m.bound()
 	for ticket, a := range m.open {
 		z := a.to.zone
-		if a.lost || z.vote != Failing && z.vote != CutOff && (z.rec.Stage != Out || z.order.Action != Auto) || m.now-a.sent <= m.bound(z)/2 {
+		if a.lost || z.vote != Failing && z.vote != CutOff && (z.rec.Stage != Out || z.order.Action != Auto) || m.now-a.sent <= bound/2 {
 			continue
 		}
 		a.lost = true
--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -318,13 +318,19 @@
 		switch {
 		case w.vote == Failing:
 			failing++
-		case w.vote == Alike, w.vote == Fine && w.at >= z.suspect+m.cfg.Silence/2:
+		case w.vote == Alike, w.vote == Fine && w.at >= z.suspect+m.margin(z):
 			against++ // what was sent as it began to fail may just have been answered
 		}
 	})
 	return failing, against
 }
 
+// margin is how much later than the first that failed an attempt must have been sent to
+// speak against that: of those that were out together some are answered before.
+func (m *Machine) margin(z *zone) time.Duration {
+	return min(max(50*time.Millisecond, time.Duration(2*z.took.value())), m.cfg.Silence/2)
+}
+
 // suspects keeps since when anybody says that a zone fails.
 func (m *Machine) suspects(z *zone) {
 	first := time.Duration(-1)
@@ -340,7 +346,7 @@
 
 // well says that this sidecar has seen a zone answer since anybody saw it fail.
 func (m *Machine) well(z *zone) bool {
-	return z.vote == Fine && z.goodSent >= z.suspect+m.cfg.Silence/2
+	return z.vote == Fine && z.goodSent >= z.suspect+m.margin(z)
 }
 
 // lastLeft says that no other zone is in use that has a server.
@@ -360,9 +366,9 @@
 	}
 	m.alone(z)
 	failing, against := m.voices(z)
-	// Of two that see it well the one may err; it is no failing zone then, but a cut between
+	// One that sees it well may err. Where two do it is no failing zone, but a cut between
 	// some and it, and these leave alone.
-	called := failing >= m.need() && against < max(2, m.need()) && float64(failing) >= m.cfg.Share*float64(failing+against) && z.vote != Alike && z.vote != CutOff && !m.well(z) && !m.lastLeft(z)
+	called := failing >= m.need() && against < min(2, m.need()) && float64(failing) >= m.cfg.Share*float64(failing+against) && z.vote != Alike && z.vote != CutOff && !m.well(z) && !m.lastLeft(z)
 	if !called {
 		z.wanted = -1
 		if z.rec.Stage == Part && z.vote == Fine && m.now-z.since > m.cfg.Dwell {
--- a/internal/evacuation/note.go
+++ b/internal/evacuation/note.go
@@ -13,7 +13,7 @@
 	headLen     = 1 + 2 + 4 + 4 + 1 + 1
 	zoneLen     = 2 + 1 + 1 + 4 + 2 + 1 + 4 + 2 + 1
 	zonesIn     = 8 // in one note; more take turns
-	ageUnit     = 50 * time.Millisecond
+	ageUnit     = 20 * time.Millisecond
 	ageMost     = 255
 	hello       = 1 // flag: answer me
 )
@@ -44,7 +44,7 @@
 	var newest *zone
 	for _, z := range all {
 		b = binary.BigEndian.AppendUint16(b, uint16(z.id))
-		age := min(max(now-m.sawAt(z), 0)/ageUnit, ageMost)
+		age := min((max(now-m.sawAt(z), 0)+ageUnit-1)/ageUnit, ageMost) // never newer than it is
 		b = append(b, byte(z.vote), byte(age))
 		b = binary.BigEndian.AppendUint32(b, z.rec.Gen)
 		b = binary.BigEndian.AppendUint16(b, z.rec.Step)
@@ -112,8 +112,10 @@
 		if z == nil {
 			continue
 		}
-		if t.vote == Failing && z.vote == Fine && m.now >= z.eager && m.now-z.goodSent < m.cfg.Window {
-			z.eager = m.now + eagerFor // one that sees it well says so at once
+		if t.vote == Failing && z.vote == Fine && m.now-z.goodSent < m.cfg.Window {
+			// One that sees it well says so at once, first to the one that does not.
+			z.eager = max(z.eager, m.now+eagerFor)
+			news = news || z.goodSent >= now-late-t.age+m.margin(z)
 		}
 		if t.order.later(z.order) {
 			if n.text && n.texted == t.id {
@@ -126,10 +128,6 @@
 		} else if n.text && n.texted == t.id && t.order.Version == z.order.Version && t.order.Author == z.order.Author && z.order.Reason != n.reason && z.order.Who == "somebody" {
 			z.order.Who, z.order.Reason = n.who, n.reason
 		}
-		// One that holds an older record or order is told of ours.
-		if z.rec.Later(t.rec) || z.order.later(t.order) {
-			news = news || z.rec.Gen > 0 || z.order.Version > 0
-		}
 	}
 	if n.flags&hello != 0 {
 		out.To = append(out.To, int(n.from))
@@ -146,7 +144,7 @@
 const driftMost = 0.01
 
 // answersMost bounds the answers to peers that hold something older, between two ticks.
-const answersMost = 2
+const answersMost = 4
 
 type told struct {
 	id    ZoneID
--- a/internal/evacuation/note_test.go
+++ b/internal/evacuation/note_test.go
@@ -105,6 +105,53 @@
 	}
 }
 
+// One that was stopped says nothing of what it saw before, asks what the fleet holds, and
+// goes on to no stage whose time has passed meanwhile.
+func TestGoesOnAfterAStop(t *testing.T) {
+	a, b := pair(t)
+	b.Receive(sec, 0, 5, a.Note(sec, 150))
+	for n, name := range []string{"s1", "s2", "s1", "s2"} {
+		b.Ended(sec+time.Duration(n)*time.Millisecond, b.Sent(sec, name), NoConn, false)
+	}
+	b.Ended(sec, b.Sent(sec+time.Millisecond, "s3"), Good, false)
+	b.Tick(sec + 100*time.Millisecond)
+	if v := b.zones[0].vote; v != Failing {
+		t.Fatalf("its vote is %v", v)
+	}
+	if err := b.Order(sec+100*time.Millisecond, "a", "leave", "x", "y"); err != nil {
+		t.Fatal(err)
+	}
+	b.Order(sec+100*time.Millisecond, "a", "auto", "x", "y")
+	open := b.Sent(sec+100*time.Millisecond, "s1")
+	out := b.Tick(20 * sec)
+	if v := b.zones[0].vote; v != None || b.Heard() != 0 || out.Tell == 0 || b.zones[0].rec.Stage != Out {
+		t.Errorf("after 19 s: %v, heard %d, tells %d, %v", v, b.Heard(), out.Tell, b.zones[0].rec)
+	}
+	b.Ended(20*sec, open, Late, false)
+	b.Tick(20*sec + 50*time.Millisecond)
+	if v := b.zones[0].vote; v != None {
+		t.Errorf("what ended from before the stop: %v", v)
+	}
+	if n := b.Note(20*sec, 150); n[11]&hello == 0 {
+		t.Error("it does not ask")
+	}
+}
+
+// What was answered as the first saw the zone fail may have been sent before: it speaks
+// against nothing. What was sent a moment later does.
+func TestWhatSpeaksAgainst(t *testing.T) {
+	a, b := pair(t)
+	for sent, want := range map[time.Duration]int{10*sec + 40*time.Millisecond: 0, 10*sec + 60*time.Millisecond: 1} {
+		a.ticked, b.ticked, b.now = 10*sec, 10*sec+500*time.Millisecond, 10*sec+500*time.Millisecond
+		a.zones[0].vote, a.zones[0].goodSent = Fine, sent
+		b.zones[0].suspect = 10 * sec
+		b.Receive(b.now, 0, 5, a.Note(b.now, 150))
+		if _, against := b.voices(b.zones[0]); against != want {
+			t.Errorf("sent %v after: %d speak against", sent-10*sec, against)
+		}
+	}
+}
+
 func TestConfig(t *testing.T) {
 	for want, spoil := range map[string]func(c *Config){
 		"zones.witnesses":  func(c *Config) { c.Witnesses = 0 },
--- a/internal/evacuation/random_test.go
+++ b/internal/evacuation/random_test.go
@@ -74,7 +74,15 @@
 		return true
 	}
 	end := 3 * sec
+	cutOff := make(map[string]map[int]bool) // so many that they are the fleet's word
 	for _, f := range faults {
+		if f.kind == carCutOff {
+			if cutOff[f.zone] == nil {
+				cutOff[f.zone] = make(map[int]bool)
+			}
+			cutOff[f.zone][f.car] = true
+			caused[f.zone] = caused[f.zone] || len(cutOff[f.zone]) >= w.cars[0].m.need()
+		}
 		end = max(end, f.to)
 		switch f.kind {
 		case zoneFails, halfCutOff:
