A look at a client's connection costs no allocation

The look before a call is handed on made its closure and raw connection anew each time: four allocations a request (front/ending.go, peek).

Each connection makes them once.

--- a/internal/front/ending.go
+++ b/internal/front/ending.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -40,19 +41,60 @@
 	ending := c.ending && !c.shut
 	c.ending = false
 	c.srv.mu.Unlock()
-	return ending && (c.br.Buffered() > 0 || pending(c.nc))
+	return ending && (c.br.Buffered() > 0 || c.sight.pending())
 }
 
+// sight looks at what there is to read on a connection, and waits for nothing. It is made
+// once for each: looking costs a system call and no allocation.
+type sight struct {
+	mu   sync.Mutex
+	raw  syscall.RawConn  // nil: no look at this connection
+	look func(fd uintptr) // of its own
+	one  [1]byte
+	n    int
+	err  error
+}
+
+func (s *sight) of(nc net.Conn) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	s.raw = raw
+	s.look = func(fd uintptr) {
+		s.n, _, s.err = syscall.Recvfrom(int(fd), s.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}
+}
+
+// peek is how many bytes there are to read, up to one.
+func (s *sight) peek() (n int, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.raw == nil {
+		return 0, errNoPeek
+	}
+	s.n, s.err = 0, errNoPeek // where it is closed on this side nothing is looked at
+	s.raw.Control(s.look)
+	return s.n, s.err
+}
+
+// errNoPeek is for a connection that can't be looked at, or is closed on this side.
+var errNoPeek = errors.New("front: no look at this connection")
+
 // pending says whether there are bytes to read.
-func pending(nc net.Conn) bool {
-	n, err := peek(nc)
+func (s *sight) pending() bool {
+	n, err := s.peek()
 	return err == nil && n > 0
 }
 
 // hungUp says whether the other side has ended the connection, and nothing is left to read
 // before that.
-func hungUp(nc net.Conn) bool {
-	switch n, err := peek(nc); err {
+func (s *sight) hungUp() bool {
+	switch n, err := s.peek(); err {
 	case nil:
 		return n == 0
 	case syscall.EAGAIN, syscall.EINTR, errNoPeek:
@@ -61,24 +103,3 @@
 		return true
 	}
 }
-
-// errNoPeek is for a connection that can't be looked at, or is closed on this side.
-var errNoPeek = errors.New("front: no look at this connection")
-
-// peek looks at what there is to read, and waits for nothing.
-func peek(nc net.Conn) (n int, err error) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0, errNoPeek
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, errNoPeek
-	}
-	err = errNoPeek
-	raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, err
-}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -93,7 +93,7 @@
 
 // Left implements message.Client. One that has closed its connection has left, though the
 // word of it may not have been read yet.
-func (x *Exchange) Left() bool { return hungUp(x.conn.nc) }
+func (x *Exchange) Left() bool { return x.conn.sight.hungUp() }
 
 // source is a client's address.
 func source(nc net.Conn) netip.Addr {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -102,6 +102,7 @@
 
 	listener string
 	br       *bufio.Reader
+	sight    sight
 
 	busy    bool // a request is being read or answered
 	head    bool
@@ -168,6 +169,7 @@
 	c := &conn{srv: s, nc: nc, listener: listener, in: capped{Conn: nc}, fresh: true, since: time.Now()}
 	c.br = bufio.NewReaderSize(&c.in, 4<<10)
 	c.served.L = &s.mu
+	c.sight.of(nc)
 	s.mu.Lock()
 	full := len(s.conns) >= s.cfg.MostConns
 	s.mu.Unlock()
