--- a/internal/evacuation/cases_test.go
+++ b/internal/evacuation/cases_test.go
@@ -366,6 +366,12 @@
 // One whose record went on alone, in a partition, finds the others back and comes back too.
 func TestOneThatWentOnAlone(t *testing.T) {
 	w := newWorld(t, 41, 12, 3, "a", "b", "c")
+	w.rate = func(n int) float64 {
+		if n == 4 {
+			return 0.001 // nothing of its own helps it
+		}
+		return 12
+	}
 	w.until(3 * sec)
 	z := w.cars[4].m.named("a")
 	z.rec, z.since = Record{Gen: 3, Step: 70, Stage: Quarter}, w.now
@@ -399,10 +405,12 @@
 	if len(told) != 2 {
 		t.Errorf("told %v", told)
 	}
-	if err := a.Order(at, "b", "leave", "x", "y"); err != nil {
+	_, b := pair(t)
+	b.Sent(sec, "s3")
+	if err := b.Order(sec, "b", "leave", "x", "y"); err != nil {
 		t.Fatal(err)
 	}
-	if lost := a.Tick(at + 40*time.Millisecond).Lost; len(lost) > 0 {
+	if lost := b.Tick(sec + 300*time.Millisecond).Lost; len(lost) > 0 {
 		t.Errorf("by an order: %v", lost)
 	}
 }
