Where the others are full a zone is left in part while it serves anything

A test of leaving in part showed that it never held: a sidecar that had seen nothing itself, or a few bad calls in a row, led the fleet out all the same (machine.go, judge).

Who has seen nothing goes by the others' records only; whether a zone serves anything is judged over three windows. What is out of doubt first is left at once: a zone that fails before the others are full. Test: three quarters of a zone's calls fail while the others turn a third away; without the handling it fails.

--- a/internal/evacuation/cases_test.go
+++ b/internal/evacuation/cases_test.go
@@ -363,6 +363,44 @@
 	}
 }
 
+// A zone that serves a quarter of its calls fails while the others turn calls away: only the
+// dear classes leave it. When the others have room again, all do.
+func TestLeftInPartWhereTheOthersAreFull(t *testing.T) {
+	w := newWorld(t, 43, 24, 3, "a", "b", "c")
+	for n, c := range w.cars {
+		c.cfg.Dear = []bool{false, true} // calls of the world are of class 0
+		w.start(n)
+	}
+	bad, full := false, false
+	w.up = func(_ int, s Server) Kind {
+		switch {
+		case bad && s.Zone == "a" && w.rng.IntN(4) > 0:
+			return Errored
+		case full && s.Zone != "a" && w.rng.IntN(3) == 0:
+			return Full
+		}
+		return Good
+	}
+	w.until(3 * sec)
+	full = true
+	w.until(8 * sec)
+	bad = true
+	w.until(15 * sec)
+	if parts := w.stages("a")[Part]; parts < 20 || w.stages("a")[Out] > 0 || w.departures("a") > 0 {
+		t.Errorf("%v", w.stages("a"))
+	}
+	for _, c := range w.cars {
+		if m := c.m; m.named("a").rec.Stage == Part && (!m.Room(w.now, "a", 0) || m.Room(w.now, "a", 1) || !m.Room(w.now, "b", 1)) {
+			t.Error("the wrong classes leave it")
+		}
+	}
+	full = false
+	w.until(30 * sec)
+	if w.departures("a") == 0 {
+		t.Errorf("nobody left it when the others had room: %v", w.stages("a"))
+	}
+}
+
 // One whose record went on alone, in a partition, finds the others back and comes back too.
 func TestOneThatWentOnAlone(t *testing.T) {
 	w := newWorld(t, 41, 12, 3, "a", "b", "c")
--- a/internal/evacuation/evidence.go
+++ b/internal/evacuation/evidence.go
@@ -83,6 +83,9 @@
 	good   float64 // weight of good ones
 }
 
+// countsFor windows what was met by kind is remembered.
+const countsFor = 3
+
 // least is the weight of evidence below which it says nothing.
 const least = 0.5
 
@@ -109,7 +112,7 @@
 	if o.weight > 0 {
 		o.ratio = bad / o.weight
 	}
-	z.counts.fade(now, window)
+	z.counts.fade(now, countsFor*window)
 	all := 0.0
 	for _, x := range z.counts.n {
 		all += x
@@ -152,7 +155,7 @@
 // met takes what an attempt met.
 func (m *Machine) met(now time.Duration, a attempt, k Kind) {
 	z := a.to.zone
-	z.counts.fade(now, m.cfg.Window)
+	z.counts.fade(now, countsFor*m.cfg.Window)
 	z.counts.n[k]++
 	if k == Full {
 		return
--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -368,7 +368,7 @@
 	failing, against := m.voices(z)
 	// One that sees it well may err. Where two do it is no failing zone, but a cut between
 	// some and it, and these leave alone.
-	called := failing >= m.need() && against < min(2, m.need()) && float64(failing) >= m.cfg.Share*float64(failing+against) && z.vote != Alike && z.vote != CutOff && !m.well(z) && !m.lastLeft(z)
+	called := failing >= m.need() && against < min(2, m.need()) && float64(failing) >= m.cfg.Share*float64(failing+against) && (z.vote == Failing || z.vote == Limping) && !m.lastLeft(z)
 	if !called {
 		z.wanted = -1
 		if z.rec.Stage == Part && z.vote == Fine && m.now-z.since > m.cfg.Dwell {
@@ -385,8 +385,7 @@
 	why := fmt.Sprintf("%d say that it fails, %d speak against that", failing, against)
 	// What the others can carry: where they refuse already, and this one still serves some,
 	// only what is dear goes there.
-	o := z.opinion(m.now, m.cfg.Window)
-	if elsewhere := m.refusals(z); elsewhere > m.cfg.Full && o.good > 0.2*o.weight {
+	if elsewhere := m.refusals(z); elsewhere > m.cfg.Full && z.serves() {
 		if z.rec.Stage == All {
 			m.move(z, Part, fmt.Sprintf("%s; the others turn away %.0f%%", why, 100*elsewhere))
 		}
@@ -396,6 +395,16 @@
 	m.enter(z, Out, why)
 }
 
+// serves says that a zone has served some calls of late, over a longer time than an opinion
+// looks at: a few bad ones in a row must not pass for all.
+func (z *zone) serves() bool {
+	all := 0.0
+	for _, x := range z.counts.n {
+		all += x
+	}
+	return z.counts.n[Good] > 0.03*(all-z.counts.n[Full])
+}
+
 // refusals is the share of answers elsewhere that turned calls away.
 func (m *Machine) refusals(z *zone) (share float64) {
 	n := 0.0
