--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -71,7 +71,6 @@
 	room    float64       // of the pace
 	roomAt  time.Duration
 	changes []Change // the last changesMost
-	said    string   // the verdict that was told last
 }
 
 // changesMost bounds what is remembered of a zone's changes.
--- a/internal/fleet/names.go
+++ b/internal/fleet/names.go
@@ -32,15 +32,6 @@
 // homeOf is the zone that the n-th sidecar is in.
 func (s *Schedule) homeOf(n int) string { return s.Zones[n%len(s.Zones)] }
 
-func (s *Schedule) serversIn(zone string) (all []int) {
-	for n := range s.Servers * len(s.Zones) {
-		if s.zoneOf(n) == zone {
-			all = append(all, n)
-		}
-	}
-	return all
-}
-
 func serverName(n int) string { return fmt.Sprintf("s%d", n+1) }
 
 // pick reads a choice of parties, with commas between: sidecars, sidecar:3, sidecar:2-5,
