--- a/internal/core/host_test.go
+++ b/internal/core/host_test.go
@@ -419,6 +419,11 @@
 func BenchmarkRequest(b *testing.B) {
 	s := newServer(b, always(ok("hi")))
 	_, _, addr := start(b, testSettings(), s)
+	oneByOne(b, addr)
+}
+
+// oneByOne sends requests on one connection, one after the other.
+func oneByOne(b *testing.B, addr string) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -319,6 +319,32 @@
 	return d, d.Start()
 }
 
+var builtIn string // the folder of what Binary built; empty: nothing
+
+// built is the daemon's binary, built once in a process.
+var built = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "daemon")
+	if err != nil {
+		return "", err
+	}
+	builtIn = dir
+	path := filepath.Join(dir, "daemon")
+	if out, err := exec.Command("go", "build", "-o", path, "chalkrack/cmd/fawnrock").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("rig: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+// Binary builds the daemon, once in a process, from within the module's folders.
+func Binary() (string, error) { return built() }
+
+// RemoveBinary takes away what Binary built; nothing may use it any more.
+func RemoveBinary() {
+	if builtIn != "" {
+		os.RemoveAll(builtIn)
+	}
+}
+
 // readyMost is how long a daemon's process may take to serve.
 const readyMost = 20 * time.Second
 
