Regions, a plan's word on a zone's loss, and notes of thousands at the cost of few

Two parts of zones were names only. Where more than half of a region's zones are out, anybody's word is enough for another; where 'carried' says that the others can't carry all without a zone, one that serves anything is left in part. Both tests fail without them.

Who goes first was worked out by a pass over all sidecars for each candidate of each call in a return, and each tick looked at all peers (evacuation/stages.go, machine.go): 2,000 took 1.5 ms a tick. It is worked out once a step now, and only peers heard of late are looked at.

--- a/internal/daemon/zoned.go
+++ b/internal/daemon/zoned.go
@@ -8,6 +8,7 @@
 
 	"chalkrack/internal/core"
 	"chalkrack/internal/evacuation"
+	"chalkrack/internal/features"
 	"chalkrack/internal/rooms/zones"
 )
 
@@ -23,10 +24,8 @@
 	if err := json.Unmarshal(c.platform, &raw); err != nil {
 		return evacuation.Config{}, "", fmt.Errorf("config: %w", err)
 	}
-	f := &c.Features.Zones
-	cfg := evacuation.Config{Self: raw.Settings.Rank, Peers: len(raw.Peers), Seed: c.seed, Inc: inc, Witnesses: f.Witnesses, Share: f.Share, Fails: f.Fails, Limps: f.Limps,
-		Silence: time.Duration(f.Silence), Slow: f.Slow, Window: time.Duration(f.Window), Settle: time.Duration(f.Settle), Alone: time.Duration(f.Alone),
-		Dwell: time.Duration(f.Dwell), DwellMost: time.Duration(f.DwellMost), Proof: time.Duration(f.Proof), Bears: f.Bears, Spread: f.Spread, Full: f.Full}
+	cfg := ZonesOf(&c.Features.Zones)
+	cfg.Self, cfg.Peers, cfg.Seed, cfg.Inc = raw.Settings.Rank, len(raw.Peers), c.seed, inc
 	mean := 0.0
 	for _, k := range c.settings.Config.Classes {
 		mean += k.Worth / float64(len(c.settings.Config.Classes))
@@ -40,6 +39,20 @@
 	return cfg, cmp.Or(raw.Name, raw.Listen), nil
 }
 
+// ZonesOf is package evacuation's configuration as the operators' file has it, without what
+// differs from one sidecar to the next.
+func ZonesOf(f *features.Zones) evacuation.Config {
+	cfg := evacuation.Config{Witnesses: f.Witnesses, Share: f.Share, Fails: f.Fails, Limps: f.Limps, Silence: time.Duration(f.Silence), Slow: f.Slow,
+		Window: time.Duration(f.Window), Settle: time.Duration(f.Settle), Alone: time.Duration(f.Alone), Dwell: time.Duration(f.Dwell), DwellMost: time.Duration(f.DwellMost),
+		Proof: time.Duration(f.Proof), Bears: f.Bears, Spread: f.Spread, Full: f.Full, Carried: f.Carried, Regions: make(map[string]string)}
+	for region, all := range f.Regions {
+		for _, zone := range all {
+			cfg.Regions[zone] = region
+		}
+	}
+	return cfg
+}
+
 // newZoned returns nil where [zones] is off.
 func newZoned(c *Config) (*zones.Zones, error) {
 	if !c.Features.Zones.Enabled {
--- a/internal/evacuation/cases_test.go
+++ b/internal/evacuation/cases_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chalkrack/internal/evacuation"
+	"chalkrack/internal/lab/zonal"
 )
 
 // Each way in which a zone may fail: all are out within 2 s, those with hardly a call too, and
@@ -221,39 +222,73 @@
 	f.back("a", 25*sec)
 }
 
-// A zone that serves a quarter of its calls fails while the others turn calls away: only the
-// dear classes leave it. When the others have room again, all do.
-func TestLeftInPartWhereTheOthersAreFull(t *testing.T) {
-	cfg := evacuation.Default()
-	cfg.Dear = []bool{false, true} // calls of the world are of class 0
-	f := fleetOf(t, 43, cfg, 24)
-	bad, full := false, false
-	f.Up = func(_ int, s evacuation.Server) evacuation.Kind {
-		switch {
-		case bad && s.Zone == "a" && f.Rand.IntN(4) > 0:
-			return evacuation.Errored
-		case full && s.Zone != "a" && f.Rand.IntN(3) == 0:
-			return evacuation.Full
+// A zone that serves a quarter of its calls fails while the others turn calls away, or could not
+// carry all by the plan: only the dear classes leave it. When the others have room, all do.
+func TestLeftInPart(t *testing.T) {
+	for _, planned := range []bool{false, true} {
+		cfg := evacuation.Default()
+		cfg.Dear = []bool{false, true} // calls of the world are of class 0
+		if planned {
+			cfg.Carried = map[string]float64{"a": 0.7}
 		}
-		return evacuation.Good
-	}
-	f.Run(3 * sec)
-	full = true
-	f.Run(8 * sec)
-	bad = true
-	f.Run(15 * sec)
-	if at := f.Stages("a"); at[evacuation.Part] < 20 || at[evacuation.Out] > 0 || f.Departures("a") > 0 {
-		t.Errorf("%v", at)
-	}
-	for _, c := range f.Cars {
-		if rec, _ := c.Held("a"); rec.Stage == evacuation.Part && (!c.Room(f.Now, "a", 0) || c.Room(f.Now, "a", 1) || !c.Room(f.Now, "b", 1)) {
-			t.Error("the wrong classes leave it")
+		f := fleetOf(t, 43, cfg, 24)
+		bad, full := false, false
+		f.Up = func(_ int, s evacuation.Server) evacuation.Kind {
+			switch {
+			case bad && s.Zone == "a" && f.Rand.IntN(4) > 0:
+				return evacuation.Errored
+			case full && s.Zone != "a" && f.Rand.IntN(3) == 0:
+				return evacuation.Full
+			}
+			return evacuation.Good
+		}
+		f.Run(3 * sec)
+		full = !planned
+		f.Run(8 * sec)
+		bad = true
+		f.Run(15 * sec)
+		if at := f.Stages("a"); at[evacuation.Part] < 20 || at[evacuation.Out] > 0 || f.Departures("a") > 0 {
+			t.Errorf("planned %v: %v", planned, at)
+		}
+		for _, c := range f.Cars {
+			if rec, _ := c.Held("a"); rec.Stage == evacuation.Part && (!c.Room(f.Now, "a", 0) || c.Room(f.Now, "a", 1) || !c.Room(f.Now, "b", 1)) {
+				t.Errorf("planned %v: the wrong classes leave it", planned)
+			}
+		}
+		full = false
+		f.Run(30 * sec)
+		if left := f.Departures("a") > 0; left == planned {
+			t.Errorf("planned %v: left later %v, %v", planned, left, f.Stages("a"))
 		}
 	}
-	full = false
-	f.Run(30 * sec)
-	if f.Departures("a") == 0 {
-		t.Errorf("nobody left it when the others had room: %v", f.Stages("a"))
+}
+
+// Two of a region's three zones are out. The third fails too, which only one sidecar has calls
+// to see: all leave it on its word. A zone of no region they don't leave.
+func TestRegion(t *testing.T) {
+	for _, region := range []string{"west", ""} {
+		cfg := evacuation.Default()
+		cfg.Dwell, cfg.DwellMost = time.Hour, time.Hour
+		cfg.Regions = map[string]string{"a": region, "b": region, "c": region}
+		w, err := zonal.New(51, cfg, 12, 2, "a", "b", "c", "d")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := &fleet{World: w, t: t, fails: make(map[string]evacuation.Kind)}
+		f.Up = func(_ int, s evacuation.Server) evacuation.Kind { return f.fails[s.Zone] }
+		quiet := false
+		f.Rate = func(n int) float64 { return map[bool]float64{true: 0.01, false: 12}[quiet && n > 0] }
+		f.vanish("a")
+		f.left("a", 3*sec)
+		f.vanish("b")
+		f.left("b", 3*sec)
+		quiet = true
+		f.Run(20 * sec)
+		f.vanish("c")
+		f.Run(24 * sec)
+		if n, of := f.Using("c"); region != "" && n > 0 || region == "" && n < of-1 {
+			t.Errorf("region %q: %d of %d use zone c", region, n, of)
+		}
 	}
 }
 
--- a/internal/evacuation/config.go
+++ b/internal/evacuation/config.go
@@ -44,6 +44,13 @@
 	Spread    int           // peers that are told at once of what is new
 	Full      float64       // the share of refusals elsewhere from which on a zone is left in part only
 	Dear      []bool        // by class: worth more than the mean; these leave first
+	// Regions has the region of zones. Where more than half of one's zones are out, anybody's
+	// word is enough for another of them.
+	Regions map[string]string
+	// Carried is what share of the fleet's calls the other zones carry without one, as
+	// 'fawnctl plan' has it for its loss; what is not there they carry. Below 1 a zone that
+	// serves anything is left in part.
+	Carried map[string]float64
 }
 
 // Default is a Config with the times and shares of the operators' page.
@@ -76,6 +83,9 @@
 	need(c.DwellMost >= c.Dwell && c.DwellMost <= 24*time.Hour, "dwell_most", "dwell at least, 24h at most")
 	need(c.Bears > 0 && c.Bears <= 1e6, "bears", "above 0, 1000000 at most")
 	need(c.Spread >= 1 && c.Spread <= 16, "spread", "within 1 and 16")
+	for zone, share := range c.Carried {
+		need(share >= 0 && share <= 1, "carried."+zone, "within 0 and 1")
+	}
 	need(c.Full > 0 && c.Full <= 1, "full", "above 0, 1 at most")
 	return err
 }
--- a/internal/evacuation/export_test.go
+++ b/internal/evacuation/export_test.go
@@ -14,8 +14,9 @@
 func (m *Machine) First(zone string) int {
 	z := *m.named(zone)
 	z.rec.Step++
+	z.rec.Stage = First
 	for n := range m.cfg.Peers {
-		if m.place(&z, n) == 0 {
+		if m.member(&z, n) {
 			return n
 		}
 	}
--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -35,10 +35,11 @@
 }
 
 type peer struct {
-	inc   uint64
-	seq   uint32
-	at    time.Duration // when heard last; below 0: never
-	words map[ZoneID]word
+	inc    uint64
+	seq    uint32
+	at     time.Duration // when heard last; below 0: never
+	words  map[ZoneID]word
+	lately bool // it is in Machine.lately
 	// quickest is the least of our time less the peer's, in milliseconds, of its notes:
 	// what a later one is above it, it was late.
 	quickest uint32
@@ -71,7 +72,11 @@
 	eager   time.Duration // until when it is news
 	room    float64       // of the pace
 	roomAt  time.Duration
-	changes []Change // the last changesMost
+	// The least weight of those that go first, by the record that it was worked out for; 0:
+	// not yet.
+	firsts   uint64
+	firstsOf Record
+	changes  []Change // the last changesMost
 }
 
 // changesMost bounds what is remembered of a zone's changes.
@@ -99,6 +104,7 @@
 	open    map[uint64]attempt
 	ticket  uint64
 	peers   []peer
+	lately  []int // the peers that were heard of late
 	seq     uint32
 	woke    time.Duration // when it started, or went on after a stop
 	answers int           // since the last tick
@@ -193,6 +199,7 @@
 		m.woke = now
 	}
 	m.now, m.ticked, m.answers = max(now, m.now), now, 0
+	m.drop(func(p *peer) bool { return now-p.at >= max(heardFor, 2*m.cfg.Window) })
 	m.overdue()
 	uses := m.using()
 	for _, z := range m.zones {
@@ -243,6 +250,19 @@
 	return all
 }
 
+// drop forgets what some of the peers said. What is looked at at each tick are those heard of
+// late, a few, however many there are.
+func (m *Machine) drop(old func(p *peer) bool) {
+	m.lately = slices.DeleteFunc(m.lately, func(n int) bool {
+		p := &m.peers[n]
+		if !old(p) {
+			return false
+		}
+		p.lately, p.words, p.at = false, nil, -1
+		return true
+	})
+}
+
 // forget is for a process that was stopped: it has nothing to say of what it saw, waits
 // for no end of a stage that has long passed, and asks what the fleet holds now.
 func (m *Machine) forget(now time.Duration) {
@@ -251,10 +271,7 @@
 	for _, s := range m.servers {
 		s.at = -1
 	}
-	for n := range m.peers {
-		m.peers[n].at = -1
-		m.peers[n].words = nil
-	}
+	m.drop(func(*peer) bool { return true })
 	for _, z := range m.zones {
 		z.vote, z.suspect, z.rumour, z.wanted, z.doubted, z.since = None, -1, -1, -1, -1, now
 		z.goodSent, z.badSent, z.stageGood, z.stageBad = -1, -1, 0, 0
@@ -285,17 +302,35 @@
 // need is how many sidecars' word it takes.
 func (m *Machine) need() int { return max(1, min(m.cfg.Witnesses, (m.cfg.Peers+1)/2)) }
 
+// needFor is how many it takes for a zone: where most of its region is out already, anybody's.
+func (m *Machine) needFor(z *zone) int {
+	region := m.cfg.Regions[z.name]
+	if region == "" {
+		return m.need()
+	}
+	all, out := 0, 0
+	for _, o := range m.zones {
+		if m.cfg.Regions[o.name] != region || len(o.servers) == 0 {
+			continue
+		}
+		if all++; o != z && o.rec.Stage == Out && o.order.Action == Auto {
+			out++
+		}
+	}
+	if 2*out > all {
+		return 1
+	}
+	return m.need()
+}
+
 // fresh says that a peer was heard lately.
 func (m *Machine) fresh(p *peer) bool { return p.at >= 0 && m.now-p.at < heardFor }
 
 // each calls do with what each sidecar says of a zone, this one too, by evidence within
 // the window.
 func (m *Machine) each(z *zone, do func(n int, w word)) {
-	for n := range m.peers {
+	for _, n := range m.lately {
 		p := &m.peers[n]
-		if n == m.cfg.Self || p.at < 0 {
-			continue
-		}
 		if w, ok := p.words[z.id]; ok && m.now-p.at < 2*m.cfg.Window && (w.vote == Failing || m.now-w.at < 2*m.cfg.Window) {
 			do(n, w)
 		}
@@ -373,7 +408,7 @@
 	failing, against := m.voices(z)
 	// One that sees it well may err. Where two do it is no failing zone, but a cut between
 	// some and it, and these leave alone.
-	called := failing >= m.need() && against < min(2, m.need()) && float64(failing) >= m.cfg.Share*float64(failing+against) && (z.vote == Failing || z.vote == Limping) && !m.lastLeft(z)
+	called := failing >= m.needFor(z) && against < min(2, m.need()) && float64(failing) >= m.cfg.Share*float64(failing+against) && (z.vote == Failing || z.vote == Limping) && !m.lastLeft(z)
 	if !called {
 		z.wanted = -1
 		if z.rec.Stage == Part && z.vote == Fine && m.now-z.since > m.cfg.Dwell {
@@ -390,9 +425,10 @@
 	why := fmt.Sprintf("%d say that it fails, %d speak against that", failing, against)
 	// What the others can carry: where they refuse already, and this one still serves some,
 	// only what is dear goes there.
-	if elsewhere := m.refusals(z); elsewhere > m.cfg.Full && z.serves() {
+	elsewhere, carried := m.refusals(z), m.carried(z)
+	if (elsewhere > m.cfg.Full || carried < 1) && z.serves() {
 		if z.rec.Stage == All {
-			m.move(z, Part, fmt.Sprintf("%s; the others turn away %.0f%%", why, 100*elsewhere))
+			m.move(z, Part, fmt.Sprintf("%s; the others turn away %.0f%% and carry %.0f%%", why, 100*elsewhere, 100*carried))
 		}
 		return
 	}
@@ -410,6 +446,15 @@
 	return z.counts.n[Good] > 0.03*(all-z.counts.n[Full])
 }
 
+// carried is what share of the calls the others carry without a zone, by the plan; 1 where
+// there is none.
+func (m *Machine) carried(z *zone) float64 {
+	if share, ok := m.cfg.Carried[z.name]; ok {
+		return share
+	}
+	return 1
+}
+
 // refusals is the share of answers elsewhere that turned calls away.
 func (m *Machine) refusals(z *zone) (share float64) {
 	n := 0.0
--- a/internal/evacuation/note.go
+++ b/internal/evacuation/note.go
@@ -89,7 +89,10 @@
 		return out
 	}
 	if inc != p.inc { // a new start, also of one whose clock was set back meanwhile
-		*p = peer{inc: inc, at: -1}
+		*p = peer{inc: inc, at: -1, lately: p.lately}
+	}
+	if !p.lately {
+		p.lately, m.lately = true, append(m.lately, from)
 	}
 	// A note may have been held up on its way: by how much it is later than the quickest of
 	// its sender's, what it tells is older.
--- a/internal/evacuation/stages.go
+++ b/internal/evacuation/stages.go
@@ -13,9 +13,9 @@
 	var held []Record
 	heard, first := 0, 0 // first: members of this stage that have gone one on
 	var next Record
-	for n := range m.peers {
+	for _, n := range m.lately {
 		p := &m.peers[n]
-		if n == m.cfg.Self || !m.fresh(p) {
+		if !m.fresh(p) {
 			continue
 		}
 		heard++
@@ -39,7 +39,7 @@
 	if len(held) == 0 {
 		z.rumour = -1
 	}
-	need := m.need()
+	need := m.needFor(z)
 	if m.now-m.woke > m.cfg.Alone { // as many as there are to be heard
 		need = max(1, min(need, heard))
 	}
@@ -78,7 +78,7 @@
 // ended, whom those that have no calls just now would follow. Who sees the zone well since
 // has time to say so. One that has just started takes the fleet's word.
 func (m *Machine) rumoured(z *zone) bool {
-	if failing, _ := m.voices(z); failing >= m.need() || m.now-m.woke < heardFor {
+	if failing, _ := m.voices(z); failing >= m.needFor(z) || m.now-m.woke < heardFor {
 		return false
 	}
 	if z.rumour < 0 {
@@ -93,17 +93,11 @@
 	return fine >= min(2, m.need()) || m.now-z.rumour < 2*m.cfg.Settle
 }
 
-// place is where a sidecar stands in the order in which a zone's return goes, from 0. It
-// is another one at each step, so that one with a bad link does not hold the return up.
-func (m *Machine) place(z *zone, n int) int {
-	salt := uint64(z.id)<<48 | uint64(z.rec.Gen&0xffff)<<16 | uint64(z.rec.Step)
-	mine, before := mix(salt, n), 0
-	for o := range m.cfg.Peers {
-		if o != n && mix(salt, o) > mine {
-			before++
-		}
-	}
-	return before
+// weight is a sidecar's in the order in which a zone's return goes: those with the most go
+// first. It is another one at each step, so that one with a bad link does not hold the return
+// up (rendezvous hashing, Thaler and Ravishankar 1998).
+func (z *zone) weight(n int) uint64 {
+	return mix(uint64(z.id)<<48|uint64(z.rec.Gen&0xffff)<<16|uint64(z.rec.Step), n)
 }
 
 func mix(salt uint64, n int) uint64 {
@@ -120,9 +114,18 @@
 	return max(1, min(m.cfg.Peers, int(part[s]*float64(m.cfg.Peers)+0.999)))
 }
 
-// member says whether a sidecar is one of them.
+// member says whether a sidecar is one of them. What it takes is worked out once for each
+// record: it is asked for each candidate of each call, and of each peer at each tick.
 func (m *Machine) member(z *zone, n int) bool {
-	return m.place(z, n) < m.members(z.rec.Stage)
+	if z.firstsOf != z.rec || z.firsts == 0 {
+		all := make([]uint64, m.cfg.Peers)
+		for i := range all {
+			all[i] = z.weight(i)
+		}
+		slices.Sort(all)
+		z.firstsOf, z.firsts = z.rec, max(1, all[len(all)-m.members(z.rec.Stage)])
+	}
+	return z.weight(n) >= z.firsts
 }
 
 // returning goes on with a zone that was left.
@@ -177,9 +180,9 @@
 		return false
 	}
 	heard, back := 0, 0
-	for n := range m.peers {
+	for _, n := range m.lately {
 		p := &m.peers[n]
-		if n == m.cfg.Self || !m.fresh(p) {
+		if !m.fresh(p) {
 			continue
 		}
 		heard++
@@ -414,8 +417,8 @@
 
 // Heard is how many other sidecars were heard lately.
 func (m *Machine) Heard() (n int) {
-	for i := range m.peers {
-		if i != m.cfg.Self && m.fresh(&m.peers[i]) {
+	for _, i := range m.lately {
+		if m.fresh(&m.peers[i]) {
 			n++
 		}
 	}
--- a/internal/features/zones.go
+++ b/internal/features/zones.go
@@ -12,7 +12,8 @@
 type Zones struct {
 	Enabled   bool                `toml:"enabled"`
 	Folder    string              `toml:"folder"`  // remembers orders and stages over a start; empty: the others tell
-	Regions   map[string][]string `toml:"regions"` // zones that an order may name together
+	Regions   map[string][]string `toml:"regions"` // zones that an order may name together, and that are judged together
+	Carried   map[string]float64  `toml:"carried"` // share of all calls that the other zones carry without one
 	Witnesses int                 `toml:"witnesses"`
 	Share     float64             `toml:"share"`
 	Fails     float64             `toml:"fails"`
@@ -39,6 +40,9 @@
 func (z *Zones) check(c *checker, f *File) {
 	c.need(!z.Enabled || f.Duty.Enabled, "zones.enabled", "needs duty.enabled: its word travels in the notes of [duty]")
 	c.need(!z.Enabled || f.Duty.Key != "", "zones.enabled", "needs duty.key: whoever can send a note could lead the fleet")
+	for _, zone := range sorted(z.Carried) {
+		c.need(z.Carried[zone] >= 0 && z.Carried[zone] <= 1, "zones.carried."+zone, "must be within 0 and 1")
+	}
 	in := make(map[string]string)
 	for _, region := range sorted(z.Regions) {
 		c.need(len(z.Regions[region]) > 0, "zones.regions."+region, "names no zone")
--- a/internal/features/zones_test.go
+++ b/internal/features/zones_test.go
@@ -21,6 +21,7 @@
 		duty + "[zones]\nenabled = true\n[zones.regions]\nwest = []\n": "zones.regions.west: names no zone",
 		duty + "[zones.regions]\neast = [\"a\"]\nwest = [\"a\"]\n":     "zones.regions.west: zone \"a\" is in east too",
 		duty + "[zones.regions]\na = [\"a\", \"b\"]\n":                 "zones.regions.a: has the name of one of its zones",
+		"[zones.carried]\na = 1.5\n":                                   "zones.carried.a: must be within 0 and 1",
 		"[zones]\npace = 3\n":                                          "zones.pace",
 		"[zones]\ndwell = \"soon\"\n":                                  "zones.dwell",
 	} {
