--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -152,6 +152,9 @@
 		case errors.Is(err, errBroken):
 			fmt.Fprintln(s.err, "fawnctl:", err)
 			return 1
+		case errors.Is(err, errRehearsal):
+			fmt.Fprintln(s.err, "fawnctl:", err)
+			return 1
 		case errors.Is(err, errLosses):
 			return 1
 		case errors.Is(err, errShort):
--- a/cmd/fawnctl/zone.go
+++ b/cmd/fawnctl/zone.go
@@ -38,6 +38,8 @@
 	Return zoneReturnCmd `cmd:"" help:"Have the fleet return to a zone, in stages."`
 	Hold   zoneHoldCmd   `cmd:"" help:"Keep a zone as it is, whatever the evidence says."`
 	Auto   zoneAutoCmd   `cmd:"" help:"Leave a zone to evidence again."`
+
+	Rehearse zoneRehearseCmd `cmd:"" help:"Play random faults against a fleet in virtual time, by the settings of a file."`
 }
 
 // Run gives the order.
--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -121,7 +121,7 @@
 		if e.Kind != Arrived {
 			continue
 		}
-		_, known := calls[e.ID]
+		call, known := calls[e.ID]
 		if !known {
 			find("known calls", e, e.ID, "no client sent it")
 			continue
@@ -132,8 +132,14 @@
 				find("no effect twice", e, e.ID, "run again")
 			}
 		}
-		if e.Drained > drainGrace+drainSlack {
-			find("drains", e, e.ID, fmt.Sprintf("after %v of draining", e.Drained))
+		told := e.At - e.Drained
+		for _, d := range downs[call.Who] { // who was stopped hears of it when it goes on
+			if d.from <= e.At && d.to > told && d.to <= e.At {
+				told = d.to
+			}
+		}
+		if e.Drained > 0 && e.At-told > drainGrace+drainSlack {
+			find("drains", e, e.ID, fmt.Sprintf("%v after its sidecar could know that it drains", e.At-told))
 		}
 	}
 	for _, e := range h.Events {
--- a/internal/fleet/check_test.go
+++ b/internal/fleet/check_test.go
@@ -69,6 +69,17 @@
 			t.Errorf("%s on a machine that starved it: %v", c.name, all)
 		}
 	}
+	// A sidecar that was stopped hears of a drain when it goes on.
+	h := well()
+	h.Events[2].Drained = 10 * ms
+	h.Events = append([]Event{{At: 0, Kind: Process, Who: "sidecar:1", What: "stopped"}, {At: 11 * ms, Kind: Process, Who: "sidecar:1", What: "goes on"}}, h.Events...)
+	h.Events[4].At, h.Events[4].Drained = 11*ms+drainGrace, drainGrace+drainSlack+ms
+	h.Events[2].Took = drainGrace + 11*ms
+	for _, f := range Check(h) {
+		if f.Rule == "drains" {
+			t.Errorf("a sidecar that was stopped: %v", f)
+		}
+	}
 	// What a process held that was killed or stopped, it need not answer.
 	for _, down := range []string{"killed", "stopped", "told to end", "ended: signal"} {
 		h := well()
@@ -158,6 +169,7 @@
 		"faults[0].share":    "[[faults]]\nkind = \"starve\"\non = \"sidecar:1\"",
 		"faults[0].rate":     "[[faults]]\nkind = \"trickle\"\nfrom = \"sidecars\"\nto = \"servers\"",
 		"faults[0].factor":   "[[faults]]\nkind = \"slow\"\non = \"servers\"",
+		"faults[0].with":     "[[faults]]\nkind = \"list\"\non = \"server:s1\"\nwith = \"gone\"",
 		"faults[0].name":     "[[faults]]\nkind = \"deed\"\non = \"sidecar:1\"",
 		"there are sidecars": "[[faults]]\nkind = \"stop\"\non = \"sidecar:3-1x\"",
 	} {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -195,7 +195,7 @@
 	if x.OneWay {
 		text += ", one way"
 	}
-	if x.Kind == Deed || x.Kind == Mark {
+	if x.Kind == Deed || x.Kind == Mark || x.Kind == List {
 		text += " " + x.Name + " " + x.With
 	}
 	return text
@@ -301,6 +301,12 @@
 		}
 		return nil
 	}
+	if x.Kind == List {
+		if begin {
+			return f.list(s, n, x.With)
+		}
+		return nil
+	}
 	if x.Kind == Freeze {
 		if begin {
 			s.Freeze()
@@ -324,6 +330,25 @@
 	return nil
 }
 
+// list has discovery say what is to be said of a server. One that drains books from now on
+// what still comes.
+func (f *Fleet) list(s *standin.Server, n int, status string) error {
+	switch status {
+	case "draining":
+		s.NoteDrain()
+	case "up":
+		s.NoteUndrain()
+	case "new":
+		if err := s.Restart(); err != nil {
+			return err
+		}
+		f.tell(n, "up", true)
+		return nil
+	}
+	f.tell(n, status, false)
+	return nil
+}
+
 // tell has discovery say of a server to each sidecar what it is, by its own address.
 func (f *Fleet) tell(n int, status string, restarted bool) {
 	each := len(f.site.Servers) + 1
--- a/internal/fleet/schedule.go
+++ b/internal/fleet/schedule.go
@@ -45,7 +45,7 @@
 )
 
 // Faults of processes, On some of them. Sidecars know Kill, Stop, Term, Starve and Spoil,
-// servers Kill, Freeze, Fail, Slow and Decline, discovery Kill and Lag.
+// servers Kill, Freeze, Fail, Slow, Decline and List, discovery Kill and Lag.
 const (
 	Kill    Kind = "kill"    // ends without a word; starts again when the fault ends
 	Stop    Kind = "stop"    // SIGSTOP, and SIGCONT when the fault ends
@@ -56,6 +56,7 @@
 	Fail    Kind = "fail"    // answers 500
 	Slow    Kind = "slow"    // answers Factor times as late
 	Decline Kind = "decline" // turns all away
+	List    Kind = "list"    // discovery says With of it: up, draining, removed, or new: it has just started
 	Lag     Kind = "lag"     // changes of the list come By later
 	Deed    Kind = "deed"    // an operator's call, Name with the text With, at a sidecar's socket
 	Mark    Kind = "mark"    // nothing happens: a time that the report names
@@ -65,7 +66,7 @@
 
 var processKinds = map[Kind]string{ // what each may be done to
 	Kill: "sidecar server discovery", Stop: "sidecar", Term: "sidecar", Starve: "sidecar", Spoil: "sidecar", Deed: "sidecar",
-	Freeze: "server", Fail: "server", Slow: "server", Decline: "server", Lag: "discovery",
+	Freeze: "server", Fail: "server", Slow: "server", Decline: "server", List: "server", Lag: "discovery",
 }
 
 // Fault is one line of a schedule.
@@ -187,6 +188,8 @@
 			need(f.Factor >= 1, at("factor"), "must be 1 or more")
 		case Starve:
 			need(f.Share > 0 && f.Share < 1, at("share"), "must be above 0 and below 1")
+		case List:
+			need(slices.Contains([]string{"up", "draining", "removed", "new"}, f.With), at("with"), "must be up, draining, removed or new")
 		case Deed:
 			need(f.Name != "", at("name"), "must name a deed")
 		}
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -177,6 +177,33 @@
 	}
 }
 
+// A zone that comes back as other servers, cold ones; a fleet whose only other zone is cold; two
+// zones lost whose rest can't carry it; servers that drain while sidecars are stopped. No rule
+// is broken, no cold server pushed over, and the last zone stays in use.
+func TestHarderZones(t *testing.T) {
+	for name, last := range map[string]string{"other-servers": "b", "cold-refuge": "b", "too-little": "c", "drain": "a"} {
+		t.Run(name, func(t *testing.T) {
+			s := shipped(t, name)
+			s.Features = zoned
+			h := play(t, s)
+			if by := h.leftBy(last, "out"); len(by) > 0 {
+				t.Errorf("zone %s was left by %v", last, by)
+			}
+			if name == "other-servers" {
+				came := 0
+				for _, a := range h.Attempts() {
+					if n := a.Server; n == "s10" || n == "s13" || n == "s16" {
+						came++
+					}
+				}
+				if len(h.leftBy("a", "out")) < 12 || came == 0 {
+					t.Errorf("%d left zone a, %d sends to its other servers", len(h.leftBy("a", "out")), came)
+				}
+			}
+		})
+	}
+}
+
 // An order to leave reaches all, through a fleet that hears half of the notes only; the
 // later order wins everywhere.
 func TestOrdersReachAll(t *testing.T) {
