--- a/internal/evacuation/cases_test.go
+++ b/internal/evacuation/cases_test.go
@@ -295,15 +295,40 @@
 // One whose record went on alone, in a partition, finds the others back and comes back too,
 // though it has no calls of its own.
 func TestOneThatWentOnAlone(t *testing.T) {
-	f := newFleet(t, 41, 12)
-	f.Rate = func(n int) float64 { return map[bool]float64{true: 0.001, false: 12}[n == 4] }
-	f.Run(3 * sec)
-	f.Cars[4].Plant(f.Now, "a", evacuation.Record{Gen: 3, Step: 70, Stage: evacuation.Quarter}, evacuation.None)
-	f.Run(f.Now + 20*sec)
-	if rec, _ := f.Cars[4].Held("a"); rec.Stage != evacuation.All {
-		t.Errorf("after 20 s it holds %+v, the others %v", rec, f.Stages("a"))
+	for _, proof := range []time.Duration{time.Second, 500 * ms} { // with steps of its own every 4 s and every 2 s
+		cfg := evacuation.Default()
+		cfg.Proof = proof
+		f := fleetOf(t, 41, cfg, 12)
+		f.Rate = func(n int) float64 { return map[bool]float64{true: 0.001, false: 12}[n == 4] }
+		f.Run(3 * sec)
+		f.Cars[4].Plant(f.Now, "a", evacuation.Record{Gen: 3, Step: 70, Stage: evacuation.Quarter}, evacuation.None)
+		f.Run(f.Now + 6*sec)
+		if rec, _ := f.Cars[4].Held("a"); rec.Stage != evacuation.All {
+			t.Errorf("after 6 s it holds %+v, the others %v", rec, f.Stages("a"))
+		}
+		f.uses("a", 12)
+	}
+}
+
+// Notes take a while, so that those that go first, with few calls, know of it late. They have
+// their time all the same, and few steps are made in vain.
+func TestThoseThatGoFirstHaveTheirTime(t *testing.T) {
+	cfg, steps := evacuation.Default(), 0
+	cfg.Proof = 500 * ms
+	for seed := range uint64(8) {
+		f := fleetOf(t, seed, cfg, 12)
+		f.Late = 50 * ms
+		f.vanish("a")
+		f.left("a", 4*sec)
+		f.fails["a"] = evacuation.Good
+		f.Rate = func(int) float64 { return 4 }
+		f.back("a", 60*sec)
+		rec, _ := f.Cars[0].Held("a")
+		steps += int(rec.Step)
+	}
+	if steps > 8*8 { // four is the least
+		t.Errorf("%d steps in eight returns", steps)
 	}
-	f.uses("a", 12)
 }
 
 // The fleet is parted while a zone fails for the one half; then whole again.
--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -31,7 +31,8 @@
 	vote Vote
 	at   time.Duration // of its evidence
 	rec  Record
-	told bool // a record came
+	told bool          // a record came
+	held time.Duration // since when it is known to hold rec
 }
 
 type peer struct {
@@ -69,6 +70,7 @@
 	alone   bool          // left by this one alone
 	trial   time.Duration // when an alone one tries again
 	spells  int           // of leaving alone
+	others  time.Duration // since when most of those heard use it, while this one does not; below 0: they don't
 	eager   time.Duration // until when it is news
 	room    float64       // of the pace
 	roomAt  time.Duration
@@ -166,7 +168,7 @@
 	if len(m.zones) >= ZonesMost {
 		return nil
 	}
-	z := &zone{name: name, id: id, wanted: -1, doubted: -1, goodSent: -1, badSent: -1, since: m.now, suspect: -1, rumour: -1, roomAt: m.now}
+	z := &zone{name: name, id: id, wanted: -1, doubted: -1, goodSent: -1, badSent: -1, since: m.now, suspect: -1, rumour: -1, others: -1, roomAt: m.now}
 	m.byID[id] = z
 	m.zones = append(m.zones, z)
 	slices.SortFunc(m.zones, func(a, b *zone) int { return cmp.Compare(a.name, b.name) })
@@ -273,7 +275,7 @@
 	}
 	m.drop(func(*peer) bool { return true })
 	for _, z := range m.zones {
-		z.vote, z.suspect, z.rumour, z.wanted, z.doubted, z.since = None, -1, -1, -1, -1, now
+		z.vote, z.suspect, z.rumour, z.wanted, z.doubted, z.others, z.since = None, -1, -1, -1, -1, -1, now
 		z.goodSent, z.badSent, z.stageGood, z.stageBad = -1, -1, 0, 0
 		if z.alone {
 			z.trial = now
@@ -335,7 +337,7 @@
 			do(n, w)
 		}
 	}
-	do(m.cfg.Self, word{vote: z.vote, at: m.sawAt(z), rec: z.rec})
+	do(m.cfg.Self, word{vote: z.vote, at: m.sawAt(z), rec: z.rec, held: z.since})
 }
 
 // sawAt is of when what this sidecar votes by is: of a zone that is fine, when the last
@@ -515,6 +517,9 @@
 // enter goes to a stage without a step of its own.
 func (m *Machine) enter(z *zone, s Stage, why string) {
 	from := z.rec.Stage
+	if from <= Part || s <= Part {
+		z.others = -1
+	}
 	z.rec.Stage, z.since, z.wanted = s, m.now, -1
 	z.eager = m.now + eagerFor
 	z.room, z.roomAt, z.alone = 1, m.now, false // one call may go at once: it is what the stage is for
--- a/internal/evacuation/note.go
+++ b/internal/evacuation/note.go
@@ -107,10 +107,15 @@
 	}
 	late := time.Duration(offset-p.quickest) * time.Millisecond
 	p.seq, p.at = n.seq, now-late
+	before := p.words
 	p.words = make(map[ZoneID]word, len(n.zones))
 	news, soon := false, false // soon: what it says is looked at before the next tick is due
 	for _, t := range n.zones {
-		p.words[t.id] = word{vote: t.vote, at: now - late - t.age, rec: t.rec, told: true}
+		w := word{vote: t.vote, at: now - late - t.age, rec: t.rec, told: true, held: now}
+		if old, ok := before[t.id]; ok && old.rec == t.rec {
+			w.held = old.held
+		}
+		p.words[t.id] = w
 		z := m.byID[t.id]
 		if z == nil {
 			continue
--- a/internal/evacuation/stages.go
+++ b/internal/evacuation/stages.go
@@ -152,8 +152,10 @@
 			failing++
 		case Fine:
 			fine++
-		default:
-			mute++
+		default: // by how long it is known to be in this stage: it came to it later than this one
+			if m.now-w.held >= m.proof(z) {
+				mute++
+			}
 		}
 	})
 	began := z.since
@@ -174,11 +176,10 @@
 
 // left says that this one is alone with its stage: most of those that are heard use the
 // zone. Guards against one whose record went on alone, in a partition or by an order that
-// crossed another: it is later than theirs, so it would never take theirs, nor they its.
+// crossed another: it is later than theirs, so it would never take theirs, nor they its. That
+// has to hold for longer than words last, or since its last step, whichever is sooner: it may go
+// on making steps alone.
 func (m *Machine) left(z *zone) bool {
-	if z.vote == Failing || m.now-z.since < max(heardFor, m.proof(z)) {
-		return false
-	}
 	heard, back := 0, 0
 	for _, n := range m.lately {
 		p := &m.peers[n]
@@ -190,7 +191,14 @@
 			back++
 		}
 	}
-	return back >= m.need() && 2*back > heard
+	switch {
+	case z.vote == Failing || back < m.need() || 2*back <= heard:
+		z.others = -1
+		return false
+	case z.others < 0:
+		z.others = m.now
+	}
+	return m.now-min(z.others, z.since) >= max(heardFor, m.proof(z))
 }
 
 // proof is how long a stage lasts at least: longer after relapses, up to the dwell's bound.
@@ -312,7 +320,7 @@
 
 // ordered takes an order that is later than the one held.
 func (m *Machine) ordered(z *zone, o Order) {
-	z.order = o
+	z.order, z.others = o, -1
 	z.eager = m.now + eagerFor
 	m.note(z, z.rec.Stage.String(), z.rec.Stage.String(), fmt.Sprintf("order %d of sidecar %d, %s: %s, %s", o.Version, o.Author, o.Who, o.Action, o.Reason))
 	if o.Action != Auto {
--- a/internal/lab/zonal/notes.go
+++ b/internal/lab/zonal/notes.go
@@ -25,6 +25,7 @@
 	Clock *virtual.Clock
 	Rand  *rand.Rand
 	Loss  float64                 // the share of notes that never come
+	Late  time.Duration           // that notes take longer
 	Hears func(from, to int) bool // nil: all hear each other
 	Lost  func(n int, l []uint64) // takes the attempts that a machine gives up; nil: nobody does
 	Moved func(n int)             // is told that what a machine uses has changed; nil: nobody is
@@ -134,7 +135,7 @@
 	if s.Rand.Float64() < s.Loss || s.Hears != nil && !s.Hears(n, to) {
 		return
 	}
-	s.Clock.After(delayMin+time.Duration(s.Rand.Int64N(int64(delayMore))), func() { s.Deliver(n, to, p.inc, b) })
+	s.Clock.After(s.Late+delayMin+time.Duration(s.Rand.Int64N(int64(delayMore))), func() { s.Deliver(n, to, p.inc, b) })
 }
 
 // waitEach is how often what waits for a stopped process is looked at.
