Links read on while they are cut, histories end, and faults name parts of a zone

A history went on taking log lines while it was read (a race found under the detector); it has an end now. A link told of a send when the cut ended; it reads on, bounded by 64 pieces. Each run listens at a host of its own: two at once took each other's ports. The failing test prints what the stragglers held.

--- a/internal/fleet/check_test.go
+++ b/internal/fleet/check_test.go
@@ -164,6 +164,7 @@
 		"faults[0].kind":     "[[faults]]\nkind = \"explode\"\non = \"sidecars\"",
 		"faults[0].on":       "[[faults]]\nkind = \"stop\"\non = \"zone:a\"",
 		"faults[0].from":     "[[faults]]\nkind = \"cut\"\nfrom = \"sidecar:99\"\nto = \"zone:a\"",
+		"zone:b:4/3":         "[[faults]]\nkind = \"cut\"\nfrom = \"sidecars\"\nto = \"zone:b:4/3\"",
 		"faults[0].to":       "[[faults]]\nkind = \"cut\"\nfrom = \"sidecars\"\nto = \"zone:q\"",
 		"faults[0].at":       "[[faults]]\nkind = \"stop\"\non = \"sidecar:1\"\nat = \"1h\"",
 		"faults[0].share":    "[[faults]]\nkind = \"starve\"\non = \"sidecar:1\"",
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -112,8 +112,9 @@
 	return standin.Always(a)
 }
 
-// sidecarHost is where sidecars listen: see linkHost.
-const sidecarHost = "127.0.0.2"
+// sidecarHost is where sidecars listen: see linkHost. Each run of this program has one of its
+// own, for a port is free between when it is picked and when its sidecar listens.
+var sidecarHost = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
 
 // addresses picks one for each sidecar's clients and one for its notes, free now at an
 // address that nobody goes out from.
--- a/internal/fleet/history.go
+++ b/internal/fleet/history.go
@@ -59,17 +59,25 @@
 
 	mu    sync.Mutex
 	began time.Time
+	over  bool
 }
 
-func (h *History) now() time.Duration { return time.Since(h.began) }
+func (h *History) now() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.began)
+}
 
 // add writes an event down; one without a time is of now.
 func (h *History) add(e Event) {
-	if e.At == 0 {
-		e.At = h.now()
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.over {
+		return
+	}
+	if e.At == 0 {
+		e.At = time.Since(h.began)
+	}
 	if len(h.Events) >= eventsMost {
 		h.Lost++
 		return
@@ -77,7 +85,12 @@
 	h.Events = append(h.Events, e)
 }
 
-func (h *History) sort() {
+// end puts the events in order, and takes no more: processes that are yet to be ended go on
+// to write lines while the history is read.
+func (h *History) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.over = true
 	slices.SortStableFunc(h.Events, func(a, b Event) int { return int(a.At - b.At) })
 }
 
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -115,7 +116,7 @@
 
 // linkHost is where links listen: no connection that goes out from 127.0.0.1 takes a port
 // there, so that one that refuses can have it again.
-const linkHost = "127.0.0.3"
+var linkHost = strings.TrimSuffix(sidecarHost, "2") + "3"
 
 // sending is one request on its way through a link, as its sender wrote it.
 type sending struct {
@@ -273,29 +274,37 @@
 	l.mu.Unlock()
 }
 
-// pump carries one direction. The delay counts from when a piece was read.
+// piece is what was read of a connection at once, and how that ended.
+type piece struct {
+	b   []byte
+	at  time.Time
+	err error
+}
+
+// piecesMost bounds what a direction holds, beside the kernel's buffers.
+const piecesMost = 64
+
+// pump carries one direction. It reads on while the link is cut: when a sidecar wrote
+// something is told by when it was read here.
 func (l *Link) pump(p *pipe, dst, src *net.TCPConn, dir int) {
-	buf := make([]byte, 16<<10)
-	for {
-		n, err := src.Read(buf)
-		if dir == out && n > 0 {
-			l.saw(p, buf[:n])
-		}
+	pieces := make(chan piece, piecesMost)
+	go l.readOn(p, src, dir, pieces)
+	for x := range pieces {
 		w, ok := l.pass(dir, p.over)
 		if !ok {
 			p.end(true)
 			return
 		}
-		if d := l.late(w); d > 0 && n > 0 {
+		if d := l.late(w) - time.Since(x.at); d > 0 && w.delay+w.spread > 0 && len(x.b) > 0 {
 			time.Sleep(d)
 		}
-		if n > 0 && !write(dst, buf[:n], w.rate) {
+		if len(x.b) > 0 && !write(dst, x.b, w.rate) {
 			p.end(true)
 			return
 		}
 		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
+		case x.err == nil:
+		case errors.Is(x.err, io.EOF):
 			dst.CloseWrite()
 			return
 		default:
@@ -303,6 +312,27 @@
 			return
 		}
 	}
+	p.end(true) // the other direction has ended it
+}
+
+// readOn reads one direction to its end, or that of the connection.
+func (l *Link) readOn(p *pipe, src *net.TCPConn, dir int, pieces chan<- piece) {
+	defer close(pieces)
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := src.Read(buf)
+		if dir == out && n > 0 {
+			l.saw(p, buf[:n])
+		}
+		select {
+		case pieces <- piece{bytes.Clone(buf[:n]), time.Now(), err}:
+		case <-p.over:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
 }
 
 // write writes at a rate, in slices of 20 ms.
--- a/internal/fleet/names.go
+++ b/internal/fleet/names.go
@@ -35,7 +35,8 @@
 func serverName(n int) string { return fmt.Sprintf("s%d", n+1) }
 
 // pick reads a choice of parties, with commas between: sidecars, sidecar:3, sidecar:2-5,
-// home:ZONE (its sidecars), servers, server:s3, zone:ZONE (its servers), discovery.
+// home:ZONE (its sidecars), servers, server:s3, zone:ZONE (its servers), zone:ZONE:2/3 (the
+// second third of them, in turn), discovery.
 func (n names) pick(text string) (all []Party, err error) {
 	for _, word := range strings.Split(text, ",") {
 		word = strings.TrimSpace(word)
@@ -62,8 +63,15 @@
 				all = append(all, sidecarParty(i))
 			}
 		case "servers", "zone":
+			what, share, shared := strings.Cut(what, ":")
+			nth, of := 1, 1
+			if shared {
+				if k, _ := fmt.Sscanf(share, "%d/%d", &nth, &of); k != 2 || nth < 1 || nth > of || of > n.s.Servers {
+					return nil, fmt.Errorf("%q: a part of a zone's %d servers is such as 1/2", word, n.s.Servers)
+				}
+			}
 			for i := range n.s.Servers * len(n.s.Zones) {
-				if kind == "servers" || n.s.zoneOf(i) == what {
+				if (kind == "servers" || n.s.zoneOf(i) == what) && i/len(n.s.Zones)%of == nth-1 {
 					all = append(all, serverParty(serverName(i)))
 				}
 			}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -512,5 +512,5 @@
 		f.h.add(Event{Kind: Figure, Who: p.party, What: "note bytes", Value: float64(bytes)})
 		f.h.add(Event{Kind: Figure, Who: f.cars[n].party, What: "resident bytes", Value: float64(p.resident())})
 	}
-	f.h.sort()
+	f.h.end()
 }
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -100,6 +100,11 @@
 			back := h.leftBy("a", "all")
 			if len(back) != 12 {
 				t.Errorf("%d returned", len(back))
+				for _, l := range h.stageLines() {
+					if _, ok := back[l.who]; !ok {
+						t.Logf("%+v", l)
+					}
+				}
 			}
 			for _, other := range []string{"b", "c"} {
 				if n := len(h.leftBy(other, "out")); n > 0 {
