--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -64,6 +64,15 @@
 	return all
 }
 
+// tellStages logs what a sidecar held, for a test that fails.
+func (h *History) tellStages(t *testing.T, who Party) {
+	for _, l := range h.stageLines() {
+		if l.who == who {
+			t.Logf("%s %v: zone %s from %s to %s, %s", who, l.at.Round(time.Millisecond), l.zone, l.from, l.to, l.why)
+		}
+	}
+}
+
 // leftBy is who told that it left a zone, and when first.
 func (h *History) leftBy(zone, how string) map[Party]time.Duration {
 	all := make(map[Party]time.Duration)
@@ -100,9 +109,9 @@
 			back := h.leftBy("a", "all")
 			if len(back) != 12 {
 				t.Errorf("%d returned", len(back))
-				for _, l := range h.stageLines() {
-					if _, ok := back[l.who]; !ok {
-						t.Logf("%+v", l)
+				for n := range 12 {
+					if who := sidecarParty(n); back[who] == 0 {
+						h.tellStages(t, who)
 					}
 				}
 			}
