--- a/internal/evacuation/cases_test.go
+++ b/internal/evacuation/cases_test.go
@@ -421,6 +421,26 @@
 	f.uses("c", 40)
 }
 
+// Two zones are out. One sidecar has left the third alone, for it could not reach it a while
+// ago: it goes back there, and does not stay where all is lost.
+func TestAloneInTheLastZone(t *testing.T) {
+	f := newFleet(t, 61, 12)
+	f.Up = func(n int, s evacuation.Server) evacuation.Kind {
+		lost := s.Zone == "a" && f.Now > 3*sec || s.Zone == "b" && f.Now > 8*sec || n == 2 && s.Zone == "c" && f.Now > 5*sec && f.Now < 7500*ms
+		return map[bool]evacuation.Kind{true: evacuation.NoConn}[lost]
+	}
+	f.Run(7500 * ms)
+	if f.Cars[2].Uses("c") {
+		t.Fatal("it has not left zone c alone")
+	}
+	f.Run(10 * sec)
+	for n, c := range f.Cars {
+		if c.Uses("b") || !c.Uses("c") {
+			t.Errorf("sidecar %d: zone b %v, zone c %v", n, c.Uses("b"), c.Uses("c"))
+		}
+	}
+}
+
 // Orders: one to leave reaches all; one to return crosses it in a partition, and the later
 // wins everywhere; what is ordered outranks evidence; a restarted sidecar learns it.
 func TestOrders(t *testing.T) {
--- a/internal/evacuation/stages.go
+++ b/internal/evacuation/stages.go
@@ -59,7 +59,7 @@
 	if best.Stage == Out && z.rec.Stage <= Part && (m.well(z) && 2*len(held) < heard || m.rumoured(z)) {
 		return // what this one sees well it leaves with the many only
 	}
-	if best.Stage == Out && m.lastLeft(z) {
+	if best.Stage == Out && m.lastLeft(z) && !m.rejoin(z) {
 		return
 	}
 	from := z.rec.Stage
@@ -73,6 +73,19 @@
 	m.enter(z, to, fmt.Sprintf("%d others hold it so", len(held)))
 }
 
+// rejoin goes back to the zones that this sidecar has left alone, where the fleet leaves the
+// last other one; false: there is none. Guards against one that stays with a zone that is lost
+// since it alone could not reach the zone that all others are in.
+func (m *Machine) rejoin(z *zone) (any bool) {
+	for _, o := range m.zones {
+		if o != z && o.alone && len(o.servers) > 0 {
+			o.alone, any = false, true
+			m.note(o, "left alone", "all", "the fleet leaves the last other zone")
+		}
+	}
+	return any
+}
+
 // rumoured says that a departure is not followed yet, or not at all: of those that hold the
 // zone to be left too few say that it fails now. Guards against a few whose partition has
 // ended, whom those that have no calls just now would follow. Who sees the zone well since
