Duties have a room of their own beside zones'

daemon holds what hosts duty, level, pools, weights, bodies, changes and operating in one folder. internal/rooms/duties has the socket, the probes and the clock of a duty.Duty now; daemon reads its settings and puts it in its place. Nothing changes in behaviour: the code moved, the tests of daemon and fawnctl pass as they were, under the race detector.

--- a/cmd/fawnctl/duty.go
+++ b/cmd/fawnctl/duty.go
@@ -6,7 +6,7 @@
 	"text/tabwriter"
 	"time"
 
-	"chalkrack/internal/daemon"
+	"chalkrack/internal/rooms/duties"
 )
 
 type dutyCmd struct {
@@ -16,7 +16,7 @@
 
 // Run shows who is alive, who watches what, and how old each finding is.
 func (c *dutyCmd) Run(s *streams) error {
-	var v daemon.DutyView
+	var v duties.View
 	if done, err := c.ask(s, "duty", &v); done || err != nil {
 		return err
 	}
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -18,6 +18,7 @@
 	"chalkrack/internal/maintenance"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
+	"chalkrack/internal/rooms/duties"
 	"chalkrack/internal/rooms/zones"
 	"chalkrack/internal/upstream"
 )
@@ -36,7 +37,7 @@
 	host        *core.Host
 	tell        func(*membership.List) // takes what discovery says, on its way to the core
 	plan        *weighted
-	shared      *duties
+	shared      *duties.Duties
 	zoned       *zones.Zones
 	ops         *operation
 	terminals   *proxy.Proxy
@@ -148,26 +149,26 @@
 	if s.shared, err = newDuties(s.c, s.host); err != nil || s.shared == nil {
 		return err
 	}
-	s.closes(s.shared.close)
+	s.closes(s.shared.Close)
 	next := s.tell
 	s.tell = func(l *membership.List) {
-		s.shared.listed(l)
+		s.shared.Listed(l)
 		next(l)
 	}
-	s.shows("duty", func() any { return s.shared.view() })
+	s.shows("duty", func() any { return s.shared.View() })
 	return nil
 }
 
 func (s *sidecar) zones() error {
 	if s.zoned != nil {
-		s.zoned.Stand(s.host, s.tell, s.shared.tellSome)
+		s.zoned.Stand(s.host, s.tell, s.shared.TellSome)
 		s.tell = s.zoned.Listed
-		s.shared.carries(s.zoned.Part, s.zoned.Heard)
+		s.shared.Carries(s.zoned.Part, s.zoned.Heard)
 		s.host.SetZones(s.zoned)
 		s.shows("zones", s.zoned.View)
 		s.deeds["zones/order"] = s.zoned.Deed
 	}
-	s.shared.begin()
+	s.shared.Begin()
 	return nil
 }
 
