Levels and weights have rooms of their own

As duties before them: internal/rooms/levels reads the sensors for a level.Machine, internal/rooms/weighted puts a plan's weights on hints; daemon reads their settings and puts them in place. The test of weights goes by what a core was told instead of the host's insides, and no longer builds a daemon's configuration.

--- a/cmd/fawnctl/level.go
+++ b/cmd/fawnctl/level.go
@@ -20,8 +20,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"chalkrack/internal/admin"
-	"chalkrack/internal/daemon"
 	"chalkrack/internal/level"
+	"chalkrack/internal/rooms/levels"
 )
 
 type levelCmd struct {
@@ -38,7 +38,7 @@
 	case c.Pin != "" && c.Unpin:
 		return errors.New("--pin and --unpin exclude each other")
 	case c.Pin != "" || c.Unpin:
-		ask := daemon.PinAsk{Level: c.Pin, For: c.For}
+		ask := levels.PinAsk{Level: c.Pin, For: c.For}
 		if c.Unpin {
 			ask.For = 0
 		}
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -19,6 +19,8 @@
 	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
 	"chalkrack/internal/rooms/duties"
+	"chalkrack/internal/rooms/levels"
+	"chalkrack/internal/rooms/weighted"
 	"chalkrack/internal/rooms/zones"
 	"chalkrack/internal/upstream"
 )
@@ -36,7 +38,7 @@
 	watcher     *discovery.Watcher
 	host        *core.Host
 	tell        func(*membership.List) // takes what discovery says, on its way to the core
-	plan        *weighted
+	plan        *weighted.Weighted
 	shared      *duties.Duties
 	zoned       *zones.Zones
 	ops         *operation
@@ -44,7 +46,7 @@
 	routes      *routing
 	ln          net.Listener
 	srv         *front.Server
-	less        *reduced
+	less        *levels.Levels
 	changing    *changer
 
 	pages map[string]func() any // for operators
@@ -139,9 +141,9 @@
 	if s.plan, err = newWeighted(s.c, s.host); err != nil || s.plan == nil {
 		return err
 	}
-	s.tell = s.plan.listed
-	s.every(time.Duration(s.c.Features.Weights.Every), s.plan.tick)
-	s.shows("weights", func() any { return s.plan.view() })
+	s.tell = s.plan.Listed
+	s.every(time.Duration(s.c.Features.Weights.Every), s.plan.Tick)
+	s.shows("weights", func() any { return s.plan.View() })
 	return nil
 }
 
@@ -244,7 +246,7 @@
 	if s.less, err = newReduced(s.c, s.host, s.srv, s.pool, s.side); err != nil || s.less == nil {
 		return err
 	}
-	s.every(levelTick, s.less.tick)
+	s.every(levels.TickEach, s.less.Tick)
 	return nil
 }
 
@@ -271,7 +273,7 @@
 	}
 	s.deeds["operate"] = s.ops.deed
 	if s.less != nil {
-		s.less.pages(s.pages, s.deeds)
+		s.less.Pages(s.pages, s.deeds)
 	}
 	operators, err := admin.Listen(path, s.pages, s.deeds)
 	if err != nil {
@@ -319,7 +321,7 @@
 			do()
 		case <-s.hup:
 			s.changing.reload()
-			s.plan.reload()
+			s.plan.Reload()
 		case a := <-s.changing.asks:
 			v, err := a.do()
 			a.reply <- answered{v, err}
--- a/internal/daemon/weighted_test.go
+++ b/internal/rooms/weighted/weighted_test.go
@@ -1,22 +1,29 @@
-package daemon
+package weighted
 
 import (
 	"bytes"
 	"crypto/ed25519"
-	"encoding/base64"
-	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"chalkrack"
-	"chalkrack/internal/core"
 	"chalkrack/internal/membership"
-	"chalkrack/internal/upstream"
 	"chalkrack/internal/weights"
 )
 
+// told is a core: the hints that it was told.
+type told map[string]float64
+
+func (t told) Listed(l *membership.List) {
+	for _, e := range l.Entries {
+		t[e.Name] = e.Hint
+	}
+}
+
+func (told) Measured(names []string) []float64 { return make([]float64, len(names)) }
+
 // A signed plan is on the hints from the first list on; one that is not signed, or older,
 // changes nothing; without a plan the list's own hints hold.
 func TestWeighted(t *testing.T) {
@@ -34,53 +41,43 @@
 		}
 	}
 	write(now, key, 3, 1)
-	p := newPair(t)
-	p.write(t, 5, fmt.Sprintf("[weights]\nfile = %q\nkey = %q\n", file, base64.StdEncoding.EncodeToString(key.Public().(ed25519.PublicKey))))
-	c := p.load(t)
-	host, err := core.New(core.Config{Settings: c.settings, Seed: 1, Transport: upstream.New(upstream.Config{MostConns: 1})})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer host.Close()
-	w, err := newWeighted(c, host)
-	if err != nil {
-		t.Fatal(err)
-	}
+	hints := make(told)
+	w := New(hints, file, key.Public().(ed25519.PublicKey), weights.Config{Zone: "z", Every: 2 * time.Second, Step: 1.25, Fade: time.Hour, Strangers: 0.2, Off: 1.8, OffShare: 0.3, Proof: 5})
 	list := &membership.List{Whole: true}
 	for _, name := range []string{"a", "b", "c"} {
 		list.Entries = append(list.Entries, membership.Entry{Endpoint: chalkrack.Endpoint{Name: name, Hint: 2, State: chalkrack.Serving}, Address: "127.0.0.1:1"})
 	}
 	list.Entries = list.Entries[:2]
-	w.listed(list)
+	w.Listed(list)
 	check := func(what string, a, b float64) {
 		t.Helper()
-		if x, y := w.hinted(list.Entries[0]).Hint, w.hinted(list.Entries[1]).Hint; x != a || y != b {
+		if x, y := hints["a"], hints["b"]; x != a || y != b {
 			t.Errorf("%s: hints %v and %v, want %v and %v", what, x, y, a, b)
 		}
 	}
 	check("at the start", 3, 1)
 	write(now.Add(time.Second), ed25519.NewKeyFromSeed(bytes.Repeat([]byte{8}, ed25519.SeedSize)), 1, 3)
-	w.reload()
-	w.tick(now)
+	w.Reload()
+	w.Tick(now)
 	check("signed by another", 3, 1)
 	write(now.Add(-time.Second), key, 1, 3)
-	w.reload()
-	w.tick(now)
+	w.Reload()
+	w.Tick(now)
 	check("older", 3, 1)
 	write(now.Add(time.Second), key, 1, 3)
-	w.reload()
-	w.tick(now)
+	w.Reload()
+	w.Tick(now)
 	check("newer, by a step", 3/1.25, 1.25)
-	w.tick(now.Add(3 * time.Hour))
-	if v := w.view(); v.Why != weights.Over || v.Hold != 0 {
+	w.Tick(now.Add(3 * time.Hour))
+	if v := w.View(); v.Why != weights.Over || v.Hold != 0 {
 		t.Errorf("%+v", v)
 	}
 	gone := list.Entries[0]
 	gone.State = chalkrack.Gone
-	w.listed(&membership.List{Entries: []membership.Entry{gone}})
-	w.tick(now)
-	if len(w.entries) != 1 || len(w.view().Hints) != 1 {
-		t.Errorf("of a server that has gone %d entries, %d hints are left", len(w.entries), len(w.view().Hints))
+	w.Listed(&membership.List{Entries: []membership.Entry{gone}})
+	w.Tick(now)
+	if len(w.entries) != 1 || len(w.View().Hints) != 1 {
+		t.Errorf("of a server that has gone %d entries, %d hints are left", len(w.entries), len(w.View().Hints))
 	}
-	(*weighted)(nil).reload() // off
+	(*Weighted)(nil).Reload() // off
 }
