A returning zone is seen by the first call of those whose turn it is

Returns over processes took long or never ended: logs say 'nobody of those that went first has seen it', again and again. Cause: who goes first may send there, but the module hardly chooses it. What its servers met before the zone was left (time-outs, in the latency that fades in 12 s, pick.go's cost; ejections) makes them the worse choice, and some are in no working set (chooseSet).

Zones.Due names a zone that waits for this sidecar's first call in the stage; a call that may run twice chooses among its servers first, by the same two choices. Not taken: forgetting what servers did, which would forget what still holds.

The tests fail without the pass, the class's guard and the flag.

--- a/balancer.go
+++ b/balancer.go
@@ -417,17 +417,15 @@
 		return false
 	}
 	may := func(s *server) bool {
-		if q.Only != "" && q.Only != s.name || !b.gate.Room(now, s.zone, q.Class) || slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == s }) {
-			return false
-		}
-		return anchor == nil || q.class.Effect != Keyed || sameGroup(q.class.Scope, anchor.to, s)
-	}
-	// Guards against a suspect that is tested by what can't be made good if it fails.
-	s := b.fleet.pick(now, q.key, func(s *server) bool {
-		return !s.barredFor(q.Class, now) && (q.class.Effect != Unsafe || !s.out.suspect(now)) && may(s)
-	})
-	if s == nil {
-		s = b.fleet.pick(now, q.key, may)
+		return (q.Only == "" || q.Only == s.name) && b.gate.Room(now, s.zone, q.Class) && !slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.to == s }) &&
+			(anchor == nil || q.class.Effect != Keyed || sameGroup(q.class.Scope, anchor.to, s))
+	}
+	due, s := b.gate.Due(now, q.class.Effect != Unsafe), (*server)(nil)
+	for pass := 1 - min(len(due), 1); s == nil && pass < 3; pass++ {
+		// Guards against a suspect that is tested by what can't be made good if it fails.
+		s = b.fleet.pick(now, q.key, func(s *server) bool {
+			return (pass > 0 || s.zone == due) && (pass > 1 || !s.barredFor(q.Class, now) && (q.class.Effect != Unsafe || !s.out.suspect(now))) && may(s)
+		})
 	}
 	if s == nil {
 		return false
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -393,3 +393,47 @@
 		t.Errorf("one key went to %v", all)
 	}
 }
+
+// dueZone has the next call that may be repeated see a zone first.
+type dueZone struct {
+	open
+	zone string
+}
+
+func (d *dueZone) Due(_ time.Duration, repeats bool) string {
+	if !repeats {
+		return ""
+	}
+	return d.zone
+}
+
+// What is due is seen first, however bad it looks, and not by what may not run twice. Where it
+// can't be, for a call's attempts have been there or it has no server, the others serve.
+func TestZoneThatIsDue(t *testing.T) {
+	b, r := newTest(t, testConfig(), Endpoint{Name: "a1", Zone: "a"}, Endpoint{Name: "a2", Zone: "a"}, Endpoint{Name: "a3", Zone: "a"}, Endpoint{Name: "b1", Zone: "b"})
+	b.noCopies()
+	b.SetZones(&dueZone{zone: "b"})
+	bad, now := b.fleet.byName["b1"], time.Duration(0)
+	for id := range RequestID(20) {
+		now += 20 * ms
+		bad.latSum, bad.latN, bad.latAt = 1000, 1, now
+		for n, class := range []int{2, 0} {
+			b.Arrive(now, Request{ID: 2*id + RequestID(n), Class: class, Deadline: now + 300*ms})
+			if got := r.servers[len(r.servers)-1]; len(r.servers) != int(2*id)+n+1 || (got == "b1") != (class == 0) {
+				t.Fatalf("class %d went to %s: %v", class, got, r.got)
+			}
+			b.Done(now+ms, 2*id+RequestID(n), 0, OK, true, Report{})
+		}
+	}
+	now += 20 * ms
+	b.Arrive(now, Request{ID: 100, Class: 0, Deadline: now + 300*ms})
+	b.Done(now+ms, 100, 0, Full, false, Report{})
+	if got := r.servers[len(r.servers)-2:]; got[0] != "b1" || got[1] == "b1" {
+		t.Errorf("turned away there it went to %v", got)
+	}
+	b.ServersListed(now+2*ms, []Endpoint{{Name: "a1", Zone: "a"}})
+	b.Arrive(now+3*ms, Request{ID: 101, Class: 0, Deadline: now + 300*ms})
+	if got := r.servers[len(r.servers)-1]; got != "a1" {
+		t.Errorf("without a server of the zone it went to %s", got)
+	}
+}
--- a/gate.go
+++ b/gate.go
@@ -26,10 +26,12 @@
 // that it leaves, the Balancer chooses.
 type Zones interface {
 	Room(now time.Duration, zone string, class int) bool
+	Due(now time.Duration, repeats bool) (zone string) // that the next call is to see, if it can; empty: none
 }
 
-// Room implements Zones.
+// Room and Due implement Zones.
 func (open) Room(time.Duration, string, int) bool { return true }
+func (open) Due(time.Duration, bool) string       { return "" }
 
 // gates are all that a Balancer asks.
 type gates struct {
--- a/internal/evacuation/evidence_test.go
+++ b/internal/evacuation/evidence_test.go
@@ -62,3 +62,31 @@
 		t.Errorf("zone b is %v", v)
 	}
 }
+
+// A zone in a stage of return is due at each that goes first, until that one has sent there
+// in this stage; not for what may not run twice.
+func TestDue(t *testing.T) {
+	cfg := Default()
+	cfg.Peers = 2
+	m, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Servers(0, []Server{{Name: "s1", Zone: "a"}, {Name: "s2", Zone: "b"}})
+	due := func(now time.Duration, want string) {
+		t.Helper()
+		if got := m.Due(now, true); got != want || m.Due(now, false) != "" {
+			t.Errorf("at %v %q is due, want %q; for what runs once %q", now, got, want, m.Due(now, false))
+		}
+	}
+	due(time.Second, "")
+	m.Plant(time.Second, "a", Record{Gen: 1, Step: 1, Stage: Quarter}, None)
+	for step := uint16(1); !m.Uses("a"); step++ { // until it is this one's turn
+		m.Plant(time.Second, "a", Record{Gen: 1, Step: step, Stage: Quarter}, None)
+	}
+	due(2*time.Second, "a")
+	m.Booked(2*time.Second, "b")
+	due(2*time.Second, "a")
+	m.Booked(2*time.Second, "a")
+	due(20*time.Second, "")
+}
--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -57,7 +57,8 @@
 	// When the last attempt was sent that was answered well, and the first of those that
 	// were not since; below 0: none.
 	goodSent, badSent   time.Duration
-	stageGood, stageBad int // of what was sent in a stage of return
+	stageGood, stageBad int  // of what was sent in a stage of return
+	tried               bool // this one has sent there in this stage
 
 	rec     Record
 	since   time.Duration // of rec
@@ -523,7 +524,7 @@
 	z.rec.Stage, z.since, z.wanted = s, m.now, -1
 	z.eager = m.now + eagerFor
 	z.room, z.roomAt, z.alone = 1, m.now, false // one call may go at once: it is what the stage is for
-	z.stageGood, z.stageBad = 0, 0
+	z.stageGood, z.stageBad, z.tried = 0, 0, false
 	m.note(z, from.String(), s.String(), why)
 }
 
--- a/internal/evacuation/stages.go
+++ b/internal/evacuation/stages.go
@@ -275,11 +275,30 @@
 	return z.room >= 1
 }
 
+// Due is a zone whose return waits for this sidecar's first call to it in this stage; empty:
+// there is none. Guards against a return that waits for chance: what a zone's servers met
+// before it was left makes them the worse choice for long, and some are in no working set.
+func (m *Machine) Due(now time.Duration, repeats bool) string {
+	if !repeats { // what may not run twice tests nothing
+		return ""
+	}
+	for _, z := range m.zones {
+		if z.rec.Stage < First || z.tried || !m.member(z, m.cfg.Self) || len(z.servers) == 0 {
+			continue
+		}
+		if m.refill(z, now); z.room >= 1 {
+			return z.name
+		}
+	}
+	return ""
+}
+
 // Booked says that a call goes to a zone for which Room was.
 func (m *Machine) Booked(now time.Duration, name string) {
 	if z := m.named(name); z != nil && z.rec.Stage >= First {
 		m.refill(z, now)
 		z.room--
+		z.tried = true
 	}
 }
 
--- a/internal/lab/zonal/world.go
+++ b/internal/lab/zonal/world.go
@@ -106,8 +106,12 @@
 		may[z] = c.Uses(z) && c.Room(w.Now, z, 0)
 	}
 	ok := w.ok[:0]
+	due := c.Due(w.Now, true)
+	if !may[due] {
+		due = ""
+	}
 	for _, s := range w.Servers {
-		if may[s.Zone] {
+		if may[s.Zone] && (due == "" || s.Zone == due) {
 			ok = append(ok, s)
 		}
 	}
--- a/internal/rooms/zones/zones.go
+++ b/internal/rooms/zones/zones.go
@@ -284,6 +284,13 @@
 	return z.m.Room(now, zone, class)
 }
 
+// Due implements chalkrack.Zones.
+func (z *Zones) Due(now time.Duration, repeats bool) string {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.m.Due(now, repeats)
+}
+
 // Part is this sidecar's part of a note.
 func (z *Zones) Part(room int) []byte {
 	now := z.core.Now()
