Upgrades where operators have a socket, and as a fault of fleets of processes

A second process at an inherited clients' socket could not start with [admin] on: admin.go refuses a path that another process serves, and the one before removed the path at its end. One that follows takes the path now, and only its own socket is removed.

Found by a new fault of schedules, upgrade: a second process, and SIGTERM for the first once it serves. Also restarts in each stage of the return, and two stopped for 13 s that go on with old evidence.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -31,6 +31,7 @@
 // Server serves a socket. It holds connsMost connections at most; more wait.
 type Server struct {
 	path string
+	own  os.FileInfo // of its socket
 	http *http.Server
 	done chan struct{}
 }
@@ -43,9 +44,21 @@
 // asked for by POST. One that a dead process left is replaced, one that answers is not.
 // The error names the path.
 func Listen(path string, pages map[string]func() any, deeds map[string]Deed) (*Server, error) {
+	return listen(path, false, pages, deeds)
+}
+
+// Succeed is Listen for a process that follows another of the same sidecar, which may still
+// serve: whoever asks from now on asks this one.
+func Succeed(path string, pages map[string]func() any, deeds map[string]Deed) (*Server, error) {
+	return listen(path, true, pages, deeds)
+}
+
+func listen(path string, succeeds bool, pages map[string]func() any, deeds map[string]Deed) (*Server, error) {
 	if c, err := net.DialTimeout("unix", path, callWait); err == nil {
 		c.Close()
-		return nil, fmt.Errorf("admin: %s: another process serves it", path)
+		if !succeeds {
+			return nil, fmt.Errorf("admin: %s: another process serves it", path)
+		}
 	} else if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("admin: %w", err)
 	}
@@ -65,8 +78,11 @@
 		return nil, fmt.Errorf("admin: %w", err)
 	}
 	ln.(*net.UnixListener).SetUnlinkOnClose(false)
+	var own os.FileInfo
 	if err = os.Chmod(tmp, 0o600); err == nil {
-		err = os.Rename(tmp, path)
+		if own, err = os.Lstat(tmp); err == nil {
+			err = os.Rename(tmp, path)
+		}
 	}
 	if err != nil {
 		ln.Close()
@@ -99,7 +115,7 @@
 			json.NewEncoder(w).Encode(v)
 		})
 	}
-	s := &Server{path: path, done: make(chan struct{}), http: &http.Server{
+	s := &Server{path: path, own: own, done: make(chan struct{}), http: &http.Server{
 		Handler: mux, ReadTimeout: callWait, WriteTimeout: callWait, IdleTimeout: callWait, MaxHeaderBytes: headMost,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, 0),
 	}}
@@ -110,9 +126,11 @@
 	return s, nil
 }
 
-// Close ends it and removes the socket.
+// Close ends it and removes the socket, unless another process has put its own there.
 func (s *Server) Close() {
-	os.Remove(s.path)
+	if now, err := os.Lstat(s.path); err == nil && os.SameFile(now, s.own) {
+		os.Remove(s.path)
+	}
 	s.http.Close()
 	<-s.done
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -113,3 +113,28 @@
 		t.Error("a text without end is taken")
 	}
 }
+
+// A process that follows another takes its place at the path; the end of the one before
+// leaves the socket where it is.
+func TestSucceed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	page := func(n int) map[string]func() any { return map[string]func() any{"n": func() any { return n }} }
+	first, err := Listen(path, page(1), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Succeed(path, page(2), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, end := range []*Server{first, second} {
+		var n int
+		if err := Ask(context.Background(), path, "n", &n); err != nil || n != 2 { // beside the first, and after it
+			t.Errorf("%d answers, %v", n, err)
+		}
+		end.Close()
+	}
+	if _, err := os.Lstat(path); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("the last one leaves its socket: %v", err)
+	}
+}
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -275,7 +275,11 @@
 	if s.less != nil {
 		s.less.Pages(s.pages, s.deeds)
 	}
-	operators, err := admin.Listen(path, s.pages, s.deeds)
+	listen := admin.Listen
+	if s.c.inherited > 0 { // the process before may still have it
+		listen = admin.Succeed
+	}
+	operators, err := listen(path, s.pages, s.deeds)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/cases_test.go
+++ b/internal/fleet/cases_test.go
@@ -78,6 +78,92 @@
 	}
 }
 
+// Sidecars are killed, one after the other, while the fleet leaves and in the stages of its
+// return, and start again. Each takes the fleet's stage, the pace holds, and all are back.
+func TestRestartsInEachStage(t *testing.T) {
+	t.Parallel()
+	s := leaving(t, "zone-vanishes", 1500*time.Millisecond, 12*time.Second)
+	for n, at := range []time.Duration{2600, 3600, 4400, 4900, 5400, 6000} {
+		s.Faults = append(s.Faults, Fault{Kind: Kill, On: string(sidecarParty(n)), At: duration.Duration(at * time.Millisecond), For: duration.Duration(200 * time.Millisecond)})
+	}
+	h := play(t, s)
+	h.keepsPace(t, "a", time.Duration(s.Faults[0].At+s.Faults[0].For))
+	all := h.holds("a")
+	for n := range s.Sidecars {
+		if to, ok := all[sidecarParty(n)]; ok && to != "all" || !ok && n >= 6 {
+			t.Errorf("sidecar %d holds %q", n+1, to)
+			h.tellStages(t, sidecarParty(n))
+		}
+	}
+	serves := 0
+	for _, e := range h.Events {
+		if e.Kind == Process && e.What == "serves" {
+			serves++
+		}
+	}
+	if serves != 6 {
+		t.Errorf("%d started again", serves)
+	}
+}
+
+// Sidecars are upgraded while the fleet leaves a zone, holds it by an order, and returns:
+// none of their calls is lost, and the second process holds what the first held from its
+// first call on.
+func TestUpgradesHoldTheStage(t *testing.T) {
+	t.Parallel()
+	s := shipped(t, "zone-vanishes")
+	s.Features, s.Length = zoned, duration.Duration(11*time.Second)
+	order := `{"zone":"b","action":"leave","who":"kim","reason":"a test"}`
+	s.Faults = []Fault{{Kind: Deed, On: "sidecar:3", At: duration.Duration(time.Second), Name: "zones/order", With: order},
+		{Kind: Cut, From: "sidecars", To: "zone:a", At: duration.Duration(3 * time.Second), For: duration.Duration(1500 * time.Millisecond)}}
+	// The leaving, out, and each stage on the way back.
+	for n, at := range []time.Duration{2500, 3500, 4200, 5100, 5700, 6300} {
+		s.Faults = append(s.Faults, Fault{Kind: Upgrade, On: string(sidecarParty(n)), At: duration.Duration(at * time.Millisecond)})
+	}
+	h := play(t, s)
+	done := 0
+	for _, e := range h.Events {
+		if e.Kind == Process && strings.Contains(e.What, "upgraded") {
+			if done++; e.What != "upgraded" {
+				t.Errorf("%s: %s", e.Who, e.What)
+			}
+		}
+	}
+	if done != 6 {
+		t.Errorf("%d upgrades", done)
+	}
+	for _, a := range h.Attempts() {
+		if a.Zone == "b" && a.At > time.Second+outWithin {
+			t.Errorf("%s sends to zone b at %v, which is ordered out", a.By, a.At)
+		}
+	}
+	h.keepsPace(t, "a", 4500*time.Millisecond)
+}
+
+// Two are stopped while a zone fails, and go on with what they saw when the fleet has long
+// been back there. Nobody leaves it again, and they hold what the others hold.
+func TestOldEvidenceMovesNobody(t *testing.T) {
+	t.Parallel()
+	s := leaving(t, "zone-vanishes", 1500*time.Millisecond, 16*time.Second)
+	const goOn = 16 * time.Second
+	for _, who := range []string{"sidecar:2", "sidecar:5"} {
+		s.Faults = append(s.Faults, Fault{Kind: Stop, On: who, At: duration.Duration(2700 * time.Millisecond), For: duration.Duration(goOn - 2700*time.Millisecond)})
+	}
+	h := play(t, s)
+	all := h.holds("a")
+	for n := range s.Sidecars {
+		if to, ok := all[sidecarParty(n)]; ok && to != "all" || !ok && n != 1 && n != 4 {
+			t.Errorf("sidecar %d holds %q", n+1, to)
+			h.tellStages(t, sidecarParty(n))
+		}
+	}
+	for _, l := range h.stageLines() {
+		if l.at > goOn && l.to == "out" && l.who != "sidecar:2" && l.who != "sidecar:5" {
+			t.Errorf("%s leaves zone %s at %v: %s", l.who, l.zone, l.at, l.why)
+		}
+	}
+}
+
 // The fleet is parted. In the one half an operator holds a zone, in the other one has it
 // left, at the same version. Each half obeys its own; when they hear each other all hold the
 // order of the sidecar with the higher number.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,7 +131,13 @@
 			return err
 		}
 		held = append(held, ln)
-		f.cars = append(f.cars, &process{party: sidecarParty(n), listen: ln.Addr().String(), h: f.h})
+		p := &process{party: sidecarParty(n), listen: ln.Addr().String(), h: f.h}
+		if f.s.upgrades(p.party) {
+			if p.held, err = ln.(*net.TCPListener).File(); err != nil {
+				return err
+			}
+		}
+		f.cars = append(f.cars, p)
 	}
 	return nil
 }
@@ -280,6 +286,9 @@
 		wait.Go(func() {
 			p.signal(syscallCont)
 			p.kill()
+			if p.held != nil {
+				p.held.Close()
+			}
 		})
 	}
 	wait.Wait()
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -39,9 +40,12 @@
 	ctx    context.Context // of the run
 	wg     *sync.WaitGroup // of the run
 
+	held *os.File // the clients' socket, where it is held for the processes; nil: each listens
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	ended  chan struct{} // closed when cmd has ended
+	up     chan struct{} // closed when cmd has said that it is ready
 	lines  int
 	starve chan struct{} // closed to end the slices
 }
@@ -50,6 +54,8 @@
 func (p *process) features() string { return filepath.Join(p.dir, "features.toml") }
 func (p *process) socket() string   { return filepath.Join(p.dir, "s") }
 
+func (p *process) tmp() string { return filepath.Join(p.dir, "tmp") }
+
 // start starts it, without waiting until it serves.
 func (p *process) start() error {
 	p.mu.Lock()
@@ -57,15 +63,23 @@
 	if p.cmd != nil {
 		return nil
 	}
-	tmp := filepath.Join(p.dir, "tmp")
-	if err := os.RemoveAll(tmp); err != nil { // no disk outlives it
+	if err := os.RemoveAll(p.tmp()); err != nil { // no disk outlives it
 		return err
 	}
-	if err := os.Mkdir(tmp, 0o700); err != nil {
+	if err := os.Mkdir(p.tmp(), 0o700); err != nil {
 		return err
 	}
+	return p.run()
+}
+
+// run starts a process; the lock is held.
+func (p *process) run() error {
 	cmd := exec.Command(p.binary)
-	cmd.Env = []string{"BALANCER_CONFIG=" + p.config(), "FAWN_FEATURES=" + p.features(), "TMPDIR=" + tmp}
+	cmd.Env = []string{"BALANCER_CONFIG=" + p.config(), "FAWN_FEATURES=" + p.features(), "TMPDIR=" + p.tmp()}
+	if p.held != nil {
+		cmd.ExtraFiles = []*os.File{p.held}
+		cmd.Env = append(cmd.Env, "BALANCER_FD=3")
+	}
 	// What this program leaves behind when it dies is ended by the kernel.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := cmd.StderrPipe()
@@ -75,12 +89,16 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("fleet: %s: %w", p.party, err)
 	}
-	ended := make(chan struct{})
-	p.cmd, p.ended = cmd, ended
+	ended, ready := make(chan struct{}), make(chan struct{})
+	p.cmd, p.ended, p.up = cmd, ended, ready
 	p.h.add(Event{Kind: Process, Who: p.party, What: "started"})
 	go func() {
-		lines := bufio.NewScanner(log)
+		lines, said := bufio.NewScanner(log), false
 		for lines.Scan() {
+			if !said && strings.Contains(lines.Text(), "msg=ready ") {
+				said = true
+				close(ready)
+			}
 			p.mu.Lock()
 			p.lines++
 			room := p.lines <= linesMost
@@ -94,12 +112,14 @@
 		if err != nil {
 			what = "ended: " + err.Error()
 		}
-		p.h.add(Event{Kind: Process, Who: p.party, What: what})
 		p.mu.Lock()
 		if p.cmd == cmd {
 			p.cmd = nil
+		} else {
+			what = "the process before " + what
 		}
 		p.mu.Unlock()
+		p.h.add(Event{Kind: Process, Who: p.party, What: what})
 		close(ended)
 	}()
 	return nil
@@ -129,6 +149,38 @@
 	}
 }
 
+// upgrade starts a second process beside the one that runs, and has that end once the second
+// serves.
+func (p *process) upgrade() error {
+	p.mu.Lock()
+	before, ended := p.cmd, p.ended
+	if before == nil || p.held == nil {
+		p.mu.Unlock()
+		return errors.New("nothing runs, or its socket is its own")
+	}
+	err := p.run()
+	ready, second := p.up, p.ended
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ready:
+	case <-second:
+		return errors.New("the second process ended")
+	case <-time.After(readyMost):
+		return errors.New("the second process does not serve")
+	}
+	before.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(endMost):
+		before.Process.Kill()
+		return errors.New("the process before did not end on SIGTERM")
+	}
+	return nil
+}
+
 // serves waits until it does, and writes that down: until then clients don't come.
 func (p *process) serves() {
 	if p.ready(p.ctx) == nil {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -259,7 +259,15 @@
 			p.start()
 			p.serves()
 		})
-	case x.Kind == Term:
+	case x.Kind == Term, x.Kind == Upgrade && !begin:
+	case x.Kind == Upgrade:
+		f.wg.Go(func() {
+			what := "upgraded"
+			if err := p.upgrade(); err != nil {
+				what = "not upgraded: " + err.Error()
+			}
+			note(what)
+		})
 	case x.Kind == Kill && begin, x.Kind == Spoil && begin:
 		note("killed")
 		p.kill()
--- a/internal/fleet/schedule.go
+++ b/internal/fleet/schedule.go
@@ -44,12 +44,13 @@
 	Hold    Kind = "hold"    // datagrams are held up and let go at the end, all at once
 )
 
-// Faults of processes, On some of them. Sidecars know Kill, Stop, Term, Starve and Spoil,
+// Faults of processes, On some of them. Sidecars know Kill, Stop, Term, Upgrade, Starve and Spoil,
 // servers Kill, Freeze, Fail, Slow, Decline and List, discovery Kill and Lag.
 const (
 	Kill    Kind = "kill"    // ends without a word; starts again when the fault ends
 	Stop    Kind = "stop"    // SIGSTOP, and SIGCONT when the fault ends
 	Term    Kind = "term"    // SIGTERM, and a start once it has ended
+	Upgrade Kind = "upgrade" // a second process at the same socket, and SIGTERM for the first once it serves
 	Starve  Kind = "starve"  // it runs for a Share of the time only, in slices of 100 ms
 	Spoil   Kind = "spoil"   // it is ended, and its starts fail until the fault ends
 	Freeze  Kind = "freeze"  // connections come up, nothing is read or answered
@@ -65,7 +66,7 @@
 var linkKinds = []Kind{Cut, Reset, Delay, Trickle, Loss, Double, Reorder, Hold}
 
 var processKinds = map[Kind]string{ // what each may be done to
-	Kill: "sidecar server discovery", Stop: "sidecar", Term: "sidecar", Starve: "sidecar", Spoil: "sidecar", Deed: "sidecar",
+	Kill: "sidecar server discovery", Stop: "sidecar", Term: "sidecar", Upgrade: "sidecar", Starve: "sidecar", Spoil: "sidecar", Deed: "sidecar",
 	Freeze: "server", Fail: "server", Slow: "server", Decline: "server", List: "server", Lag: "discovery",
 }
 
@@ -197,6 +198,14 @@
 	return err
 }
 
+// upgrades says that a sidecar is upgraded somewhere: its clients' socket is held for it then.
+func (s *Schedule) upgrades(who Party) bool {
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool {
+		all, err := s.names().pick(f.On)
+		return f.Kind == Upgrade && err == nil && slices.Contains(all, who)
+	})
+}
+
 // Draw is a schedule with up to most random faults drawn from a seed, on the fleet of a
 // base. The same seed always draws the same.
 func Draw(base Schedule, seed uint64, most int) *Schedule {
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -121,25 +121,45 @@
 				}
 			}
 			// Before anybody held that all may go, one sidecar after the other sent there.
-			first := time.Duration(1 << 62)
-			for _, at := range back {
-				first = min(first, at)
-			}
-			perSecond := make(map[time.Duration]int)
-			for _, a := range h.Attempts() {
-				if a.Zone == "a" && a.At > l.To && a.At < first-100*time.Millisecond {
-					perSecond[a.At/time.Second]++
-				}
-			}
-			for s, n := range perSecond { // a quarter of what three servers bear, and two for each of three
-				if n > 15+6 {
-					t.Errorf("second %d: %d sends before all may", s, n)
-				}
-			}
+			h.keepsPace(t, "a", l.To)
 		})
 	}
 }
 
+// keepsPace fails where a second of a zone's return, before anybody holds that all may send
+// there, has more sends than a quarter of what three servers bear, and two for each of three
+// that go first.
+func (h *History) keepsPace(t *testing.T, zone string, from time.Duration) {
+	t.Helper()
+	first := time.Duration(1 << 62)
+	for _, at := range h.leftBy(zone, "all") {
+		first = min(first, at)
+	}
+	perSecond := make(map[time.Duration]int)
+	for _, a := range h.Attempts() {
+		if a.Zone == zone && a.At > from && a.At < first-100*time.Millisecond {
+			perSecond[a.At/time.Second]++
+		}
+	}
+	for s, n := range perSecond {
+		if n > 15+6 {
+			t.Errorf("second %d: %d sends before all may", s, n)
+		}
+	}
+}
+
+// holds is what each sidecar holds of a zone at the end, by its log; those that never said
+// are not there.
+func (h *History) holds(zone string) map[Party]string {
+	all := make(map[Party]string)
+	for _, l := range h.stageLines() {
+		if l.zone == zone {
+			all[l.who] = l.to
+		}
+	}
+	return all
+}
+
 // What is no failing zone for the fleet: half of it is cut off, one has a bad link, all
 // zones fail alike. Nobody leaves but those who are cut off, and they alone.
 func TestNoFalseDeparture(t *testing.T) {
