--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"chalkrack/internal/core"
 	"chalkrack/internal/front"
 	"chalkrack/internal/radius/proxy"
+	"chalkrack/internal/rooms/pools"
 )
 
 const (
@@ -100,11 +101,11 @@
 // quit answers what is taken and ends. Where the platform holds the clients' socket,
 // another process takes what comes: this one stops to, and ends connections with an
 // answer, or where nothing has come on them.
-func quit(g *changer, host *core.Host, srv *front.Server, routes *routing, terminals *proxy.Proxy) {
+func quit(g *changer, host *core.Host, srv *front.Server, routes *pools.Routing, terminals *proxy.Proxy) {
 	began, longest := time.Now(), g.longest()
 	slog.Info("stopping", "held", host.Held())
 	host.QuitAt(longest + quitAfter)
-	routes.quitAt(longest + quitAfter)
+	routes.QuitAt(longest + quitAfter)
 	handsOver := g.c.inherited > 0
 	if handsOver {
 		g.ln.Close()
--- a/internal/daemon/pools_test.go
+++ b/internal/daemon/pools_test.go
@@ -11,6 +11,7 @@
 	"chalkrack/internal/duration"
 	"chalkrack/internal/features"
 	"chalkrack/internal/message"
+	"chalkrack/internal/rooms/pools"
 )
 
 // What a pool has of its own stands in place of the platform's, and the rest is as there.
@@ -19,11 +20,11 @@
 	p.write(t, 5, "")
 	c := p.load(t)
 	c.settings.Config.AskWithin, c.settings.Config.ColdFor = time.Minute, time.Hour
-	fixed := poolSettings(c, &features.Pool{Servers: []features.PoolServer{{}}, Attempts: 2, MaxHeld: 7, SlowStart: duration.Duration(time.Second), Cold: 0.25})
+	fixed := pools.Settings(c.settings, &features.Pool{Servers: []features.PoolServer{{}}, Attempts: 2, MaxHeld: 7, SlowStart: duration.Duration(time.Second), Cold: 0.25})
 	if k := fixed.Config; fixed.MostHeld != 7 || k.MaxAttempts != 2 || k.AskWithin != 0 || k.ColdFor != time.Second || k.ColdFrom != 0.25 || !(k.OverloadFactor > 0) {
 		t.Errorf("%+v", fixed)
 	}
-	followed := poolSettings(c, &features.Pool{Discovery: "x", MaxHeld: 9})
+	followed := pools.Settings(c.settings, &features.Pool{Discovery: "x", MaxHeld: 9})
 	if k := followed.Config; followed.MostHeld != 9 || k.MaxAttempts != 5 || k.AskWithin != 0 || k.ColdFor != time.Hour || followed.DrainGrace != c.settings.DrainGrace {
 		t.Errorf("%+v", followed)
 	}
@@ -67,10 +68,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer r.close()
+	defer r.Close()
 	how := make(chan string, 10)
 	for n := range 5 {
-		r.pools["p"].host.Arrive(&core.Call{ID: fmt.Sprint(n), Class: "activate", Wait: time.Hour, Received: time.Now(), Caller: ended{how: how},
+		r.Handler("p").Arrive(&core.Call{ID: fmt.Sprint(n), Class: "activate", Wait: time.Hour, Received: time.Now(), Caller: ended{how: how},
 			Payload: &message.Request{Method: "POST", Head: []byte("POST /activate HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n")}})
 	}
 	for end := time.Now().Add(20 * time.Second); (opened.Load() < 2 || len(how) < 3) && time.Now().Before(end); time.Sleep(time.Millisecond) {
@@ -84,16 +85,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer line.close()
+	defer line.Close()
 	told := make(chan string, 10)
 	for n := range 3 {
-		line.pools["q"].handler().Arrive(&core.Call{ID: fmt.Sprint("l", n), Class: "activate", Wait: time.Hour, Received: time.Now(), Caller: ended{how: told},
+		line.Handler("q").Arrive(&core.Call{ID: fmt.Sprint("l", n), Class: "activate", Wait: time.Hour, Received: time.Now(), Caller: ended{how: told},
 			Payload: &message.Request{Method: "POST", Head: []byte("POST /activate HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n")}})
 	}
-	if v := line.pools["q"].status().Queue; v.Active != 1 || v.Waiting != 2 {
+	if v := line.Status()[0].Queue; v.Active != 1 || v.Waiting != 2 {
 		t.Errorf("the line: %+v", v)
 	}
-	line.quitAt(time.Hour)
+	line.QuitAt(time.Hour)
 	for range 2 {
 		select {
 		case s := <-told:
@@ -104,7 +105,7 @@
 			t.Fatal("one that waits at SIGTERM is not told")
 		}
 	}
-	r.quitAt(10 * time.Millisecond)
+	r.QuitAt(10 * time.Millisecond)
 	for n := range 5 {
 		select {
 		case <-how:
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -20,6 +20,7 @@
 	"chalkrack/internal/radius/proxy"
 	"chalkrack/internal/rooms/duties"
 	"chalkrack/internal/rooms/levels"
+	"chalkrack/internal/rooms/pools"
 	"chalkrack/internal/rooms/weighted"
 	"chalkrack/internal/rooms/zones"
 	"chalkrack/internal/upstream"
@@ -43,7 +44,7 @@
 	zoned       *zones.Zones
 	ops         *operation
 	terminals   *proxy.Proxy
-	routes      *routing
+	routes      *pools.Routing
 	ln          net.Listener
 	srv         *front.Server
 	less        *levels.Levels
@@ -211,10 +212,10 @@
 	if s.routes, err = newRouting(s.c); err != nil {
 		return err
 	}
-	s.closes(s.routes.close)
+	s.closes(s.routes.Close)
 	if s.routes != nil {
-		s.shows("pools", func() any { return s.routes.status() })
-		s.shows("listeners", func() any { return s.routes.addresses() })
+		s.shows("pools", func() any { return s.routes.Status() })
+		s.shows("listeners", func() any { return s.routes.Addresses() })
 	}
 	return nil
 }
@@ -224,7 +225,7 @@
 	if s.ln, err = listener(c); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	s.srv = front.New(front.Config{MostConns: s.side, MostBody: c.shortMost(), Bodies: frontBodies(c, s.store), Long: frontLong(c, s.long), TellConfig: c.store != nil, Choose: s.routes.chooser(), Figures: s.fig}, s.host)
+	s.srv = front.New(front.Config{MostConns: s.side, MostBody: c.shortMost(), Bodies: frontBodies(c, s.store), Long: frontLong(c, s.long), TellConfig: c.store != nil, Choose: s.routes.Chooser(), Figures: s.fig}, s.host)
 	s.ops.srv = s.srv
 	return nil
 }
@@ -292,7 +293,7 @@
 	if s.c.inherited == 0 {
 		go s.srv.Serve(s.ln)
 	}
-	s.routes.serve(s.srv)
+	s.routes.Serve(s.srv)
 	if !s.c.asks && !s.follow() {
 		s.quit()
 		return nil
@@ -308,7 +309,7 @@
 	}
 	s.every(sweepEach, func(now time.Time) {
 		s.pool.Sweep(now)
-		s.routes.sweep(now)
+		s.routes.Sweep(now)
 		// Guards against memory that seems to grow for minutes: a quiet sidecar
 		// makes so little garbage that its heap climbs all day to the first collection.
 		runtime.GC()
--- a/internal/rig/pools_test.go
+++ b/internal/rig/pools_test.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"chalkrack/internal/admin"
-	"chalkrack/internal/daemon"
 	"chalkrack/internal/rig"
+	"chalkrack/internal/rooms/pools"
 	"chalkrack/internal/standin"
 )
 
@@ -167,12 +167,12 @@
 		io.Copy(io.Discard, resp.Body)
 	}
 	serving := func() string {
-		var pools []daemon.PoolStatus
-		if err := admin.Ask(t.Context(), socket, "pools", &pools); err != nil {
+		var seen []pools.Status
+		if err := admin.Ask(t.Context(), socket, "pools", &seen); err != nil {
 			t.Fatal(err)
 		}
 		var all []string
-		for _, s := range pools[0].Servers {
+		for _, s := range seen[0].Servers {
 			if s.Serving {
 				all = append(all, s.Name)
 			}
@@ -342,11 +342,11 @@
 		})
 	}
 	queue := func() string {
-		var pools []daemon.PoolStatus
-		if err := admin.Ask(t.Context(), socket, "pools", &pools); err != nil {
+		var seen []pools.Status
+		if err := admin.Ask(t.Context(), socket, "pools", &seen); err != nil {
 			t.Fatal(err)
 		}
-		q := pools[1].Queue
+		q := seen[1].Queue
 		return fmt.Sprint(q.Active, " ", q.Waiting)
 	}
 	until := func(want string) {
--- a/internal/daemon/queued_test.go
+++ b/internal/rooms/pools/queued_test.go
@@ -1,4 +1,4 @@
-package daemon
+package pools
 
 import (
 	"fmt"
