Each run of a fleet has hosts of its own, and a sidecar is ready only if its process runs

test.sh failed once: in two-zones one sidecar left neither zone and logged nothing. Runs in parallel within one test process shared a host, where ports are picked, freed and bound again by processes: a sidecar whose port another run's had got ended at its start, the other answered its health check, and its calls counted as those of a process that was down. fleet.go's addresses and process.go's ready are at fault; hosts differ by run now, and who has ended is not ready.

--- a/internal/fleet/datagrams.go
+++ b/internal/fleet/datagrams.go
@@ -28,9 +28,9 @@
 	count  int64
 }
 
-// NewNotes starts a link for datagrams.
-func NewNotes(from, to Party, target *net.UDPAddr, seed uint64) (*Notes, error) {
-	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(linkHost)})
+// NewNotes starts a link for datagrams, which listens at a host.
+func NewNotes(host string, from, to Party, target *net.UDPAddr, seed uint64) (*Notes, error) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(host)})
 	if err != nil {
 		return nil, fmt.Errorf("fleet: notes: %w", err)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,8 +7,10 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chalkrack/internal/rig"
@@ -17,16 +19,17 @@
 
 // Fleet is the processes of a schedule and all that stands round them.
 type Fleet struct {
-	s       *Schedule
-	h       *History
-	site    *rig.Site
-	dir     string
-	cars    []*process
-	finders []*standin.Discovery // one for each sidecar: what it is told has its own addresses
-	links   []*Link
-	notes   []*Notes
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	s            *Schedule
+	h            *History
+	site         *rig.Site
+	dir          string
+	host, linked string // where sidecars listen, and links
+	cars         []*process
+	finders      []*standin.Discovery // one for each sidecar: what it is told has its own addresses
+	links        []*Link
+	notes        []*Notes
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
 
 	mu     sync.Mutex
 	active map[int]Fault
@@ -51,6 +54,7 @@
 		return nil, err
 	}
 	f := &Fleet{s: s, h: &History{Head: Head{Schedule: s}, began: time.Now()}, active: make(map[int]Fault)}
+	f.host, f.linked = hosts()
 	ok := false
 	defer func() {
 		if !ok {
@@ -112,9 +116,17 @@
 	return standin.Always(a)
 }
 
-// sidecarHost is where sidecars listen: see linkHost. Each run of this program has one of its
-// own, for a port is free between when it is picked and when its sidecar listens.
-var sidecarHost = fmt.Sprintf("127.%d.%d.2", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+var runs atomic.Uint32
+
+// hosts are where a run's sidecars listen, and its links: no connection that goes out from
+// 127.0.0.1 takes a port there, so that one that refuses, or was killed, can have it again.
+// Each run has its own: a port is free between when it is picked and when its sidecar listens,
+// and another run's sidecar there would answer in its name.
+func hosts() (sidecars, links string) {
+	pid, n := os.Getpid(), 2+2*(int(runs.Add(1))%120)
+	base := fmt.Sprintf("127.%d.%d.", 1+pid>>8&0x7f, pid&0xff)
+	return base + strconv.Itoa(n), base + strconv.Itoa(n+1)
+}
 
 // addresses picks one for each sidecar's clients and one for its notes, free now at an
 // address that nobody goes out from.
@@ -126,7 +138,7 @@
 		}
 	}()
 	for n := range f.s.Sidecars {
-		ln, err := net.Listen("tcp", sidecarHost+":0")
+		ln, err := net.Listen("tcp", f.host+":0")
 		if err != nil {
 			return err
 		}
@@ -152,7 +164,7 @@
 	seed := f.s.Seed<<16 + uint64(n)
 	var list []standin.Endpoint
 	for i, server := range f.site.Servers {
-		l, err := NewLink(p.party, serverParty(server.Name()), server.Addr(), seed<<8+uint64(i))
+		l, err := NewLink(f.linked, p.party, serverParty(server.Name()), server.Addr(), seed<<8+uint64(i))
 		if err != nil {
 			return err
 		}
@@ -167,7 +179,7 @@
 		return err
 	}
 	f.finders = append(f.finders, d)
-	finder, err := NewLink(p.party, "discovery", d.Addr(), seed<<8+255)
+	finder, err := NewLink(f.linked, p.party, "discovery", d.Addr(), seed<<8+255)
 	if err != nil {
 		return err
 	}
@@ -212,7 +224,7 @@
 		}
 	}()
 	for _, p := range f.cars {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(sidecarHost)})
+		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(f.host)})
 		if err != nil {
 			return err
 		}
@@ -224,7 +236,7 @@
 			if i == j {
 				continue
 			}
-			l, err := NewNotes(from.party, to.party, held[j].LocalAddr().(*net.UDPAddr), f.s.Seed<<20+uint64(i*SidecarsMost+j))
+			l, err := NewNotes(f.linked, from.party, to.party, held[j].LocalAddr().(*net.UDPAddr), f.s.Seed<<20+uint64(i*SidecarsMost+j))
 			if err != nil {
 				return err
 			}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -114,10 +113,6 @@
 	whole time.Time           // when the last cut ended; zero: never
 }
 
-// linkHost is where links listen: no connection that goes out from 127.0.0.1 takes a port
-// there, so that one that refuses can have it again.
-var linkHost = strings.TrimSuffix(sidecarHost, "2") + "3"
-
 // sending is one request on its way through a link, as its sender wrote it.
 type sending struct {
 	id          string
@@ -153,10 +148,10 @@
 	}
 }
 
-// NewLink starts a link to a target.
-func NewLink(from, to Party, target string, seed uint64) (*Link, error) {
+// NewLink starts a link to a target, which listens at a host.
+func NewLink(host string, from, to Party, target string, seed uint64) (*Link, error) {
 	l := &Link{From: from, To: to, gate: newGate(seed), target: target, parked: make(chan struct{}, 1), pipes: make(map[*pipe]struct{}), fill: make(map[string]net.Conn)}
-	ln, err := net.Listen("tcp", linkHost+":0")
+	ln, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return nil, fmt.Errorf("fleet: link: %w", err)
 	}
--- a/internal/fleet/link_test.go
+++ b/internal/fleet/link_test.go
@@ -37,7 +37,7 @@
 
 func linked(t *testing.T) *Link {
 	t.Helper()
-	l, err := NewLink("sidecar:1", "server:s1", echo(t), 1)
+	l, err := NewLink("127.0.0.3", "sidecar:1", "server:s1", echo(t), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,7 +127,7 @@
 		c.Write(b)
 		close(came)
 	}()
-	l, err := NewLink("sidecar:1", "server:s1", ln.Addr().String(), 1)
+	l, err := NewLink("127.0.0.3", "sidecar:1", "server:s1", ln.Addr().String(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -182,7 +182,7 @@
 		t.Fatal(err)
 	}
 	defer to.Close()
-	n, err := NewNotes("sidecar:1", "sidecar:2", to.LocalAddr().(*net.UDPAddr), 1)
+	n, err := NewNotes("127.0.0.3", "sidecar:1", "sidecar:2", to.LocalAddr().(*net.UDPAddr), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -131,6 +131,12 @@
 	defer cancel()
 	t := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
 	for {
+		p.mu.Lock()
+		runs := p.cmd != nil
+		p.mu.Unlock()
+		if !runs { // whoever answers is another
+			return fmt.Errorf("fleet: %s has ended", p.party)
+		}
 		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.listen+"/_health", nil)
 		if err != nil {
 			return err
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -64,8 +64,13 @@
 	return all
 }
 
-// tellStages logs what a sidecar held, for a test that fails.
+// tellStages logs what became of a sidecar and what it held, for a test that fails.
 func (h *History) tellStages(t *testing.T, who Party) {
+	for _, e := range h.Events {
+		if e.Kind == Process && e.Who == who {
+			t.Logf("%s %v: %s", who, e.At.Round(time.Millisecond), e.What)
+		}
+	}
 	for _, l := range h.stageLines() {
 		if l.who == who {
 			t.Logf("%s %v: zone %s from %s to %s, %s", who, l.at.Round(time.Millisecond), l.zone, l.from, l.to, l.why)
