Tests of who came back to a zone and leaves it again, and of Due by turn

Two went unnoticed and have tests now, each seen to fail without its own: that a departure forgets since when the others used the zone (else who came back once goes back at once), and that a zone is due only at those whose turn it is.

--- a/internal/evacuation/cases_test.go
+++ b/internal/evacuation/cases_test.go
@@ -310,6 +310,34 @@
 	}
 }
 
+// One that came back to the others leaves with them again: that they used the zone long ago
+// does not send it back there while they are about to leave.
+func TestWhoCameBackLeavesAgain(t *testing.T) {
+	for seed := range uint64(6) {
+		f := newFleet(t, seed, 12)
+		f.Run(3 * sec)
+		f.Cars[4].Plant(f.Now, "a", evacuation.Record{Gen: 1, Step: 70, Stage: evacuation.Quarter}, evacuation.None)
+		f.Run(f.Now + 8*sec)
+		f.uses("a", 12)
+		f.fails["a"] = evacuation.NoConn
+		f.Run(f.Now + 3*sec)
+		f.uses("a", 0)
+		for n, c := range f.Cars {
+			back := 0
+			for _, v := range c.View(f.Now) {
+				for _, x := range v.Changes {
+					if x.At > 11*sec && x.To == "all" {
+						back++
+					}
+				}
+			}
+			if back > 0 {
+				t.Errorf("seed %d: sidecar %d went back at once, %d times", seed, n, back)
+			}
+		}
+	}
+}
+
 // Notes take a while, so that those that go first, with few calls, know of it late. They have
 // their time all the same, and few steps are made in vain.
 func TestThoseThatGoFirstHaveTheirTime(t *testing.T) {
--- a/internal/evacuation/evidence_test.go
+++ b/internal/evacuation/evidence_test.go
@@ -81,6 +81,10 @@
 	}
 	due(time.Second, "")
 	m.Plant(time.Second, "a", Record{Gen: 1, Step: 1, Stage: Quarter}, None)
+	for step := uint16(1); m.Uses("a"); step++ { // until it is another's turn
+		m.Plant(time.Second, "a", Record{Gen: 1, Step: step, Stage: Quarter}, None)
+	}
+	due(time.Second, "")
 	for step := uint16(1); !m.Uses("a"); step++ { // until it is this one's turn
 		m.Plant(time.Second, "a", Record{Gen: 1, Step: step, Stage: Quarter}, None)
 	}
