A management caller that gives way is answered if its line lies in its socket

Cause, read from makeRoom and shown by a test: who is older than 15 ms gives way, counted from the accept, also where a busy machine has not let its goroutine read the line that lies there. Ruled out: the answer's deadline (2 s) and the lingering (only after an answer).

Who gives way is now told so by its read deadline and looks into its socket once more before it ends; it keeps its place until it has ended, so the bound on descriptors holds.

--- a/internal/management/server.go
+++ b/internal/management/server.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,9 +43,10 @@
 // Server answers callers. It holds Places connections at most; those without a whole
 // line make way for new ones.
 type Server struct {
-	ln     net.Listener
-	deeds  Deeds
-	places int
+	ln       net.Listener
+	deeds    Deeds
+	places   int
+	youngest time.Duration
 
 	mu    sync.Mutex
 	conns map[*caller]struct{}
@@ -54,6 +58,7 @@
 	net.Conn
 	since time.Time
 	heard bool // its line is whole
+	told  bool // to give way; it does, unless its line has come meanwhile
 }
 
 // Listen serves at an address with so many places. The error names the address.
@@ -62,11 +67,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("management: %w", err)
 	}
-	s := &Server{ln: ln, deeds: d, places: max(places, 2), conns: make(map[*caller]struct{})}
+	s := serverOf(ln, places, d)
 	s.wg.Go(s.accept)
 	return s, nil
 }
 
+func serverOf(ln net.Listener, places int, d Deeds) *Server {
+	return &Server{ln: ln, deeds: d, places: max(places, 2), youngest: youngest, conns: make(map[*caller]struct{})}
+}
+
 // Addr is where it listens.
 func (s *Server) Addr() net.Addr { return s.ln.Addr() }
 
@@ -109,7 +118,8 @@
 
 // makeRoom waits until one more connection may be held. Guards against callers that hold
 // connections and say nothing: they shut nobody out, and take no more descriptors than
-// are set aside.
+// are set aside. Who gives way ends by itself: its line may lie in its socket, where a busy
+// machine has not let anybody look.
 func (s *Server) makeRoom() {
 	for {
 		s.mu.Lock()
@@ -118,16 +128,16 @@
 			return
 		}
 		var oldest *caller
+		ending := false
 		for c := range s.conns {
+			ending = ending || c.told
 			if !c.heard && (oldest == nil || c.since.Before(oldest.since)) {
 				oldest = c
 			}
 		}
-		if oldest != nil && time.Since(oldest.since) > youngest {
-			delete(s.conns, oldest)
-			s.mu.Unlock()
-			oldest.Conn.Close()
-			return
+		if !ending && oldest != nil && time.Since(oldest.since) > s.youngest {
+			oldest.told = true
+			oldest.SetReadDeadline(time.Unix(1, 0))
 		}
 		s.mu.Unlock()
 		time.Sleep(acceptIn)
@@ -147,7 +157,13 @@
 	c.SetReadDeadline(c.since.Add(callMost))
 	line, err := bufio.NewReaderSize(c.Conn, lineMost).ReadSlice('\n')
 	s.mu.Lock()
-	c.heard = true
+	told := c.told
+	s.mu.Unlock()
+	if told && errors.Is(err, os.ErrDeadlineExceeded) {
+		line, err = waiting(c.Conn, line)
+	}
+	s.mu.Lock()
+	c.heard, c.told = true, false
 	s.mu.Unlock()
 	var answer []byte
 	switch {
@@ -175,6 +191,24 @@
 	}
 }
 
+// waiting is a caller's line with what lies unread in its socket, whatever the deadline says;
+// os.ErrDeadlineExceeded: it is not whole.
+func waiting(c net.Conn, line []byte) ([]byte, error) {
+	line = append(make([]byte, 0, lineMost), line...)
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) {
+				n, _, _ := syscall.Recvfrom(int(fd), line[len(line):cap(line)], syscall.MSG_DONTWAIT)
+				line = line[:len(line)+max(n, 0)]
+			})
+		}
+	}
+	if end := bytes.IndexByte(line, '\n'); end >= 0 {
+		return line[:end+1], nil
+	}
+	return nil, os.ErrDeadlineExceeded
+}
+
 const (
 	lingerMost  = 100 * time.Millisecond
 	lingerReads = 64
