--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -28,6 +28,7 @@
 
 // word is what a peer said last of a zone.
 type word struct {
+	id   ZoneID
 	vote Vote
 	at   time.Duration // of its evidence
 	rec  Record
@@ -39,14 +40,25 @@
 	inc    uint64
 	seq    uint32
 	at     time.Duration // when heard last; below 0: never
-	words  map[ZoneID]word
-	lately bool // it is in Machine.lately
+	words  []word        // of zonesIn zones at the most, each once
+	lately bool          // it is in Machine.lately
 	// quickest is the least of our time less the peer's, in milliseconds, of its notes:
 	// what a later one is above it, it was late.
 	quickest uint32
 	clocked  time.Duration // when it was last that, or was let grow; 0: never
 }
 
+// word is what it said of a zone. A search: it says few, and this is asked for each peer and
+// zone at each tick.
+func (p *peer) word(id ZoneID) (w word, ok bool) {
+	for n := range p.words {
+		if p.words[n].id == id {
+			return p.words[n], true
+		}
+	}
+	return w, false
+}
+
 // zone is what is held of one.
 type zone struct {
 	name    string
@@ -334,7 +346,7 @@
 func (m *Machine) each(z *zone, do func(n int, w word)) {
 	for _, n := range m.lately {
 		p := &m.peers[n]
-		if w, ok := p.words[z.id]; ok && m.now-p.at < 2*m.cfg.Window && (w.vote == Failing || m.now-w.at < 2*m.cfg.Window) {
+		if w, ok := p.word(z.id); ok && m.now-p.at < 2*m.cfg.Window && (w.vote == Failing || m.now-w.at < 2*m.cfg.Window) {
 			do(n, w)
 		}
 	}
--- a/internal/evacuation/note.go
+++ b/internal/evacuation/note.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 )
 
@@ -107,15 +108,15 @@
 	}
 	late := time.Duration(offset-p.quickest) * time.Millisecond
 	p.seq, p.at = n.seq, now-late
-	before := p.words
-	p.words = make(map[ZoneID]word, len(n.zones))
+	before := *p
+	p.words = make([]word, 0, len(n.zones))
 	news, soon := false, false // soon: what it says is looked at before the next tick is due
 	for _, t := range n.zones {
-		w := word{vote: t.vote, at: now - late - t.age, rec: t.rec, told: true, held: now}
-		if old, ok := before[t.id]; ok && old.rec == t.rec {
+		w := word{id: t.id, vote: t.vote, at: now - late - t.age, rec: t.rec, told: true, held: now}
+		if old, ok := before.word(t.id); ok && old.rec == t.rec {
 			w.held = old.held
 		}
-		p.words[t.id] = w
+		p.words = append(slices.DeleteFunc(p.words, func(x word) bool { return x.id == t.id }), w)
 		z := m.byID[t.id]
 		if z == nil {
 			continue
--- a/internal/evacuation/stages.go
+++ b/internal/evacuation/stages.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		heard++
-		if w, ok := p.words[z.id]; ok && w.told && w.rec.Later(z.rec) {
+		if w, ok := p.word(z.id); ok && w.told && w.rec.Later(z.rec) {
 			held = append(held, w.rec)
 			if z.rec.Stage >= First && w.rec.Gen == z.rec.Gen && w.rec.Step == z.rec.Step+1 && m.member(z, n) {
 				first++
@@ -200,7 +200,7 @@
 			continue
 		}
 		heard++
-		if w, ok := p.words[z.id]; ok && w.rec.Stage == All {
+		if w, ok := p.word(z.id); ok && w.rec.Stage == All {
 			back++
 		}
 	}
--- a/internal/lab/zones_test.go
+++ b/internal/lab/zones_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,7 +98,8 @@
 	cfg := inZones(sidecars, z)
 	l, err := New(cfg)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return nil, 0, nil
 	}
 	if z != nil {
 		z.l = l
@@ -142,11 +144,23 @@
 	if n, err := strconv.Atoi(os.Getenv("FAWN_LAB")); err == nil {
 		sizes, length = []int{80, 300, 2000}, time.Duration(n)*time.Minute
 	}
+	// Each fleet with zones and without is a world of its own: they run side by side.
+	type seen struct {
+		z             *zoned
+		with, without float64
+		out           []time.Duration
+	}
+	all := make([]seen, len(sizes))
+	var wait sync.WaitGroup
+	for i, n := range sizes {
+		all[i].z = new(zoned)
+		wait.Go(func() { _, all[i].with, all[i].out = lose(t, n, all[i].z, length) })
+		wait.Go(func() { _, all[i].without, _ = lose(t, n, nil, length) })
+	}
+	wait.Wait()
 	var per []float64
-	for _, n := range sizes {
-		z := new(zoned)
-		_, with, out := lose(t, n, z, length)
-		_, without, _ := lose(t, n, nil, length)
+	for i, n := range sizes {
+		z, with, without, out := all[i].z, all[i].with, all[i].without, all[i].out
 		notes := float64(z.Count) / float64(n) / length.Seconds()
 		per = append(per, notes)
 		t.Logf("%d sidecars, %v: out after %v; worth %.4f with, %.4f without; %.2f notes and %.0f bytes a sidecar a second, %d notes in the busiest second of one", n, length, out, with, without, notes, float64(z.Bytes)/float64(n)/length.Seconds(), z.Most)
