Operating has a room of its own: servers out by hand, drains, and an upgrade's handover

Moved as it stood: what operators call for and the step that the processes of one sidecar keep go to internal/rooms/operating, behind a Config with what it is told; it needs two methods of zones and declares them. The daemon keeps how many descriptors callers may have and where they call. Nothing changes in behaviour: the tests of the daemon, of its upgrades and of a start that dies pass as they were.

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -15,11 +15,11 @@
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
-	"chalkrack/internal/maintenance"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
 	"chalkrack/internal/rooms/duties"
 	"chalkrack/internal/rooms/levels"
+	"chalkrack/internal/rooms/operating"
 	"chalkrack/internal/rooms/pools"
 	"chalkrack/internal/rooms/weighted"
 	"chalkrack/internal/rooms/zones"
@@ -42,7 +42,7 @@
 	plan        *weighted.Weighted
 	shared      *duties.Duties
 	zoned       *zones.Zones
-	ops         *operation
+	ops         *operating.Operation
 	terminals   *proxy.Proxy
 	routes      *pools.Routing
 	ln          net.Listener
@@ -177,15 +177,14 @@
 
 func (s *sidecar) operation() error {
 	c := s.c
-	s.ops = &operation{host: s.host, fig: s.fig, tell: s.tell, pool: s.pool, zones: s.zoned, set: maintenance.New(), limits: limits{c.heapMost(), s.side, c.shortMost()}}
-	s.ops.enter(c)
-	s.closes(s.ops.close)
-	s.watcher.Listed, s.watcher.Failed = s.ops.listed, s.host.DiscoveryFailed
+	s.ops = operating.New(operatingOf(s))
+	s.closes(s.ops.Close)
+	s.watcher.Listed, s.watcher.Failed = s.ops.Listed, s.host.DiscoveryFailed
 	s.closes(s.pool.Close)
 	s.closes(s.host.Close)
 	s.closes(s.watcher.Close)
 	if c.known != nil {
-		s.ops.listed(c.known)
+		s.ops.Listed(c.known)
 	}
 	if s.zoned != nil {
 		s.zoned.Begin()
@@ -226,12 +225,12 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	s.srv = front.New(front.Config{MostConns: s.side, MostBody: c.shortMost(), Bodies: frontBodies(c, s.store), Long: frontLong(c, s.long), TellConfig: c.store != nil, Choose: s.routes.Chooser(), Figures: s.fig}, s.host)
-	s.ops.srv = s.srv
+	s.ops.Serves(s.srv)
 	return nil
 }
 
 func (s *sidecar) management() error {
-	calls, err := s.ops.manage(s.c)
+	calls, err := manage(s.c, s.ops)
 	if err != nil {
 		s.ln.Close()
 		return err
@@ -239,7 +238,7 @@
 	if calls != nil {
 		s.closes(func() { calls.Close() })
 	}
-	s.ops.inherit()
+	s.ops.Inherit()
 	return nil
 }
 
@@ -272,7 +271,7 @@
 	for name, deed := range s.changing.pages(s.pages) {
 		s.deeds[name] = deed
 	}
-	s.deeds["operate"] = s.ops.deed
+	s.deeds["operate"] = s.ops.Deed
 	if s.less != nil {
 		s.less.Pages(s.pages, s.deeds)
 	}
@@ -302,7 +301,7 @@
 		// Not before: what another process of this sidecar can serve is its.
 		go s.srv.Serve(s.ln)
 	}
-	s.ops.serve()
+	s.ops.Serve()
 	slog.Info("ready", "listen", s.c.listen)
 	if ready != nil {
 		ready(s.ln.Addr())
@@ -358,7 +357,7 @@
 func (s *sidecar) follow() bool {
 	listed := make(chan struct{}, 1)
 	s.watcher.Listed = func(l *membership.List) {
-		s.ops.listed(l)
+		s.ops.Listed(l)
 		select {
 		case listed <- struct{}{}:
 		default:
@@ -375,6 +374,6 @@
 }
 
 func (s *sidecar) quit() {
-	s.ops.quit()
+	s.ops.Quit()
 	quit(s.changing, s.host, s.srv, s.routes, s.terminals)
 }
--- a/internal/daemon/handover.go
+++ b/internal/rooms/operating/handover.go
@@ -1,4 +1,4 @@
-package daemon
+package operating
 
 import (
 	"errors"
@@ -40,18 +40,14 @@
 // enter opens the folder that the sidecar's processes share, where the platform holds
 // the clients' socket for them, and takes up which servers are out. Without the folder
 // this process serves all the same.
-func (o *operation) enter(c *Config) {
-	tmp := c.getenv("TMPDIR")
-	if c.inherited == 0 || tmp == "" {
-		return
-	}
+func (o *Operation) enter() {
 	name := "fawnrock-" + strings.Map(func(r rune) rune {
 		if r == '/' || r == 0 {
 			return '_'
 		}
 		return r
-	}, c.listen)
-	f, err := handover.Open(filepath.Join(tmp, name))
+	}, o.c.Listen)
+	f, err := handover.Open(filepath.Join(o.c.Tmp, name))
 	if err != nil {
 		slog.Error("no handover between processes", "err", err)
 		return
@@ -63,9 +59,9 @@
 	o.heed()
 }
 
-// inherit takes up what a process that still serves has learnt. It is called before
+// Inherit takes up what a process that still serves has learnt. It is called before
 // anything else is heard of the servers but the list that the platform gave.
-func (o *operation) inherit() {
+func (o *Operation) Inherit() {
 	if o.folder == nil {
 		return
 	}
@@ -76,11 +72,11 @@
 			slog.Warn("nothing learnt from the process before", "err", err)
 		} else {
 			if len(l.List) > 0 {
-				o.listed(&membership.List{Whole: true, Entries: l.List})
+				o.Listed(&membership.List{Whole: true, Entries: l.List})
 			}
-			o.host.Remember(l.Memory)
-			if o.zones != nil {
-				o.zones.Adopt(l.Zones)
+			o.c.Host.Remember(l.Memory)
+			if o.c.Zones != nil {
+				o.c.Zones.Adopt(l.Zones)
 			}
 			slog.Info("learnt from the process before", "servers", len(l.List), "after", time.Since(began))
 		}
@@ -93,7 +89,7 @@
 }
 
 // attend keeps this process in step with others of its sidecar.
-func (o *operation) attend() {
+func (o *Operation) attend() {
 	defer close(o.ended)
 	for {
 		time.Sleep(aroundEach)
@@ -111,9 +107,9 @@
 		o.heed()
 		if o.serving.Load() && !o.quitting {
 			for _, who := range asking {
-				l := learnt{Memory: o.host.Memory(), List: o.set.List()}
-				if o.zones != nil {
-					l.Zones = o.zones.State()
+				l := learnt{Memory: o.c.Host.Memory(), List: o.set.List()}
+				if o.c.Zones != nil {
+					l.Zones = o.c.Zones.State()
 				}
 				if err := o.folder.Tell(who, l); err != nil {
 					slog.Error("what was learnt can't be told", "err", err)
@@ -125,13 +121,13 @@
 }
 
 // heed takes up what operators told other processes. It is called with the lock held.
-func (o *operation) heed() {
+func (o *Operation) heed() {
 	var d done
 	if !o.folder.Done(&d) {
 		return
 	}
 	if l := o.set.Adopt(d.State); l != nil {
-		o.tell(l)
+		o.c.Tell(l)
 	}
 	switch _, on := o.drain.Since(); {
 	case d.Drain && !on:
@@ -143,7 +139,7 @@
 
 // record makes a change, and has the other processes hear of it. It is called with the
 // lock held.
-func (o *operation) record(do func() error) (err error) {
+func (o *Operation) record(do func() error) (err error) {
 	if o.folder == nil {
 		return do()
 	}
@@ -168,25 +164,25 @@
 
 // share divides the sidecar's limits among so many processes of it. It is called with
 // the lock held.
-func (o *operation) share(parts int) {
+func (o *Operation) share(parts int) {
 	parts = max(1, min(parts, partsMost))
-	debug.SetMemoryLimit(o.limits.memory / int64(parts))
-	o.pool.Limit(o.limits.conns / parts)
-	o.srv.LimitBodies(o.limits.bodies / int64(parts))
+	debug.SetMemoryLimit(o.c.Limits.Memory / int64(parts))
+	o.c.Pool.Limit(o.c.Limits.Conns / parts)
+	o.srv.LimitBodies(o.c.Limits.Bodies / int64(parts))
 }
 
 // partsMost bounds how small a part gets.
 const partsMost = 4
 
-// limits are the whole sidecar's.
-type limits struct {
-	memory int64 // of the heap, in bytes
-	conns  int   // to servers
-	bodies int64 // of requests, in bytes
+// Limits are the whole sidecar's.
+type Limits struct {
+	Memory int64 // of the heap, in bytes
+	Conns  int   // to servers
+	Bodies int64 // of requests, in bytes
 }
 
 // leave has the folder forget this process.
-func (o *operation) leave() {
+func (o *Operation) leave() {
 	if o.ended != nil {
 		<-o.ended
 	}
