--- a/cmd/fawnctl/config.go
+++ b/cmd/fawnctl/config.go
@@ -12,7 +12,8 @@
 
 	"chalkrack/internal/admin"
 	"chalkrack/internal/change"
-	"chalkrack/internal/daemon"
+	"chalkrack/internal/config"
+	"chalkrack/internal/rooms/changes"
 )
 
 type configCmd struct {
@@ -39,7 +40,7 @@
 	Features string `help:"The operators' own settings that are to run; as they are if left out."`
 }
 
-func (c *proposed) proposal() (p daemon.Proposal, err error) {
+func (c *proposed) proposal() (p changes.Proposal, err error) {
 	if c.Platform != "" {
 		text, err := os.ReadFile(c.Platform)
 		if err != nil {
@@ -95,7 +96,7 @@
 		return err
 	}
 	p.Why = c.Why
-	var out daemon.Outcome
+	var out changes.Outcome
 	done, err := c.do(s, "config/apply", p, &out)
 	if err != nil {
 		return err
@@ -109,7 +110,7 @@
 	}
 	for c.Wait && out.ID != 0 {
 		time.Sleep(waitEach)
-		var st daemon.ChangeStatus
+		var st changes.Status
 		if err := admin.Ask(context.Background(), c.Socket, "config", &st); err != nil {
 			return fmt.Errorf("%w: %w", errAway, err)
 		}
@@ -135,7 +136,7 @@
 
 // Run shows what runs and what is on trial.
 func (c *configState) Run(s *streams) error {
-	var st daemon.ChangeStatus
+	var st changes.Status
 	if done, err := c.ask(s, "config", &st); done || err != nil {
 		return err
 	}
@@ -163,7 +164,7 @@
 
 // Run shows what became of changes, the oldest first.
 func (c *historyCmd) Run(s *streams) error {
-	var st daemon.ChangeStatus
+	var st changes.Status
 	if done, err := c.ask(s, "config", &st); done || err != nil {
 		return err
 	}
@@ -192,7 +193,7 @@
 	if own == "" {
 		own = os.DevNull
 	}
-	c, err := daemon.Load(func(name string) string {
+	c, err := config.Load(func(name string) string {
 		return map[string]string{"BALANCER_CONFIG": platform, "FAWN_FEATURES": own}[name]
 	})
 	if err != nil {
--- a/cmd/fawnrock/main.go
+++ b/cmd/fawnrock/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"syscall"
 
+	"chalkrack/internal/config"
 	"chalkrack/internal/daemon"
 	"chalkrack/internal/limitlog"
 )
@@ -19,9 +20,9 @@
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // from the first: unhandled, it would end the process
-	c, err := daemon.Load(os.Getenv)
+	c, err := config.Load(os.Getenv)
 	if err == nil {
-		c, err = daemon.Recall(c)
+		c, err = config.Recall(c)
 	}
 	if err == nil {
 		daemon.Tune(c)
--- a/internal/daemon/config.go
+++ b/internal/config/config.go
@@ -1,16 +1,21 @@
-package daemon
+// Package config is what a sidecar is told at its start: the platform's file, the operators'
+// own, and what is remembered of their changes.
+package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"chalkrack/internal/change"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/features"
+	"chalkrack/internal/generation"
 	"chalkrack/internal/history"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/settings"
@@ -24,28 +29,33 @@
 	// Managed is told where operators call, before the daemon serves; nil: nobody is.
 	Managed func(net.Addr)
 
-	listen, discovery string
-	seed              uint64
-	cores             float64
-	memoryMB, sockets int
-	known             *membership.List // nil: none
-	settings          *settings.Settings
-	asks              bool   // discovery must be asked
-	platform          []byte // the file, as read
-	own               []byte // the operators' file, as read; empty: none
-	getenv            func(string) string
-	management        string // where operators call; empty: nowhere
-	inherited         int    // the descriptor of the clients' listening socket; 0: none
+	Listen, Discovery string
+	Seed              uint64
+	Cores             float64
+	MemoryMB, Sockets int
+	Known             *membership.List // nil: none
+	Settings          *settings.Settings
+	Asks              bool   // discovery must be asked
+	Platform          []byte // the file, as read
+	Own               []byte // the operators' file, as read; empty: none
+	Getenv            func(string) string
+	Management        string // where operators call; empty: nowhere
+	Inherited         int    // the descriptor of the clients' listening socket; 0: none
 
 	// Of Recall:
-	store   *history.Store // nil: not yet
-	trial   bool           // what runs is on trial since before the start, with nothing beside it
-	lasting bool           // the store outlives the process
+	Store   *history.Store // nil: not yet
+	Trial   bool           // what runs is on trial since before the start, with nothing beside it
+	Lasting bool           // the store outlives the process
+}
+
+// Generation is what calls live under by this configuration.
+func (c *Config) Generation(id history.ID) *generation.Generation {
+	return &generation.Generation{ID: int(id), Settings: c.Settings, Paths: c.Features.Paths, PassClientErrors: c.Features.Answers.PassClientErrors}
 }
 
 // Document is the configuration as it was read, for a comparison with another.
 func (c *Config) Document() change.Document {
-	return change.Document{Platform: c.platform, Features: c.Features}
+	return change.Document{Platform: c.Platform, Features: c.Features}
 }
 
 const (
@@ -67,9 +77,9 @@
 	return nil
 }
 
-// fileFirst hides the address of discovery in the environment, which is that of the
+// FileFirst hides the address of discovery in the environment, which is that of the
 // start: at a reload the file has the newer one.
-func fileFirst(getenv func(string) string) func(string) string {
+func FileFirst(getenv func(string) string) func(string) string {
 	return func(name string) string {
 		if name == "BALANCER_DISCOVERY" {
 			return ""
@@ -85,15 +95,15 @@
 // Load reads the configuration from the environment and the files it names.
 // Errors name the field.
 func Load(getenv func(string) string) (*Config, error) {
-	platform, own, name, err := readFiles(getenv)
+	platform, own, name, err := ReadFiles(getenv)
 	if err != nil {
 		return nil, err
 	}
-	return parse(platform, own, name, getenv)
+	return Parse(platform, own, name, getenv)
 }
 
-// readFiles reads the two files. own is empty where the operators have none.
-func readFiles(getenv func(string) string) (platform, own []byte, name string, err error) {
+// ReadFiles reads the two files. own is empty where the operators have none.
+func ReadFiles(getenv func(string) string) (platform, own []byte, name string, err error) {
 	path := getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, nil, "", errors.New("BALANCER_CONFIG is not set")
@@ -114,13 +124,36 @@
 	return platform, own, name, nil
 }
 
-// parse checks a configuration alone; name is that of the operators' file, for errors.
-func parse(platform, own []byte, name string, getenv func(string) string) (*Config, error) {
+// SettleWait is how long files must be the same to be read: guards against one that is
+// being replaced, half of which may be good TOML.
+const SettleWait = 20 * time.Millisecond
+
+// ReadTwice reads the files until two readings agree, with a pause between.
+func ReadTwice(getenv func(string) string, pause func()) (platform, own []byte, name string, err error) {
+	if platform, own, name, err = ReadFiles(getenv); err != nil {
+		return nil, nil, "", err
+	}
+	for range 10 {
+		pause()
+		p, o, _, err := ReadFiles(getenv)
+		if err != nil {
+			return nil, nil, "", err
+		}
+		if bytes.Equal(p, platform) && bytes.Equal(o, own) {
+			return platform, own, name, nil
+		}
+		platform, own = p, o
+	}
+	return nil, nil, "", errors.New("the files keep changing")
+}
+
+// Parse checks a configuration alone; name is that of the operators' file, for errors.
+func Parse(platform, own []byte, name string, getenv func(string) string) (*Config, error) {
 	c, err := parsePlatform(platform, getenv)
 	if err != nil {
 		return nil, err
 	}
-	c.own, c.getenv = own, getenv
+	c.Own, c.Getenv = own, getenv
 	if len(own) == 0 {
 		c.Features = features.Default()
 		return c, nil
@@ -128,7 +161,7 @@
 	if c.Features, err = features.Parse(name, own); err != nil {
 		return nil, err
 	}
-	if err := c.Features.CheckClasses(func(name string) bool { return c.settings.Class([]byte(name)) >= 0 }); err != nil {
+	if err := c.Features.CheckClasses(func(name string) bool { return c.Settings.Class([]byte(name)) >= 0 }); err != nil {
 		return nil, err
 	}
 	inMemory := false
@@ -137,7 +170,7 @@
 			return nil, err
 		}
 	}
-	return c, c.Features.CheckPlatform(c.memoryMB, c.sockets, inMemory)
+	return c, c.Features.CheckPlatform(c.MemoryMB, c.Sockets, inMemory)
 }
 
 func parsePlatform(data []byte, getenv func(string) string) (*Config, error) {
@@ -157,26 +190,26 @@
 		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
 	c := &Config{
-		platform:  data,
-		listen:    raw.Listen,
-		discovery: raw.Discovery,
+		Platform:  data,
+		Listen:    raw.Listen,
+		Discovery: raw.Discovery,
 
-		management: raw.Management,
-		cores:      raw.Limits.Cores,
-		memoryMB:   int(raw.Limits.MemoryMB),
-		sockets:    int(raw.Limits.Sockets),
+		Management: raw.Management,
+		Cores:      raw.Limits.Cores,
+		MemoryMB:   int(raw.Limits.MemoryMB),
+		Sockets:    int(raw.Limits.Sockets),
 	}
 	if v := getenv("BALANCER_LISTEN"); v != "" {
-		c.listen = v
+		c.Listen = v
 	}
 	if v := getenv("BALANCER_DISCOVERY"); v != "" {
-		c.discovery = v
+		c.Discovery = v
 	}
 	if v := getenv("BALANCER_MANAGEMENT"); v != "" {
-		c.management = v
+		c.Management = v
 	}
-	if c.management != "" {
-		if err := checkAddress(c.management, 0); err != nil {
+	if c.Management != "" {
+		if err := checkAddress(c.Management, 0); err != nil {
 			return nil, fmt.Errorf("config: management: %w", err)
 		}
 	}
@@ -185,20 +218,20 @@
 		if err != nil || n < 3 || n > most {
 			return nil, fmt.Errorf("BALANCER_FD: %q is no descriptor from 3 on", v)
 		}
-		c.inherited = n
+		c.Inherited = n
 	}
-	if err := checkAddress(c.listen, 0); err != nil {
+	if err := checkAddress(c.Listen, 0); err != nil {
 		return nil, fmt.Errorf("config: listen: %w", err)
 	}
-	if err := checkAddress(c.discovery, 1); err != nil {
+	if err := checkAddress(c.Discovery, 1); err != nil {
 		return nil, fmt.Errorf("config: discovery: %w", err)
 	}
 	var err error
-	if c.seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
+	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("config: seed: %w", err)
 	}
 	switch {
-	case !(c.cores > 0 && c.cores <= most):
+	case !(c.Cores > 0 && c.Cores <= most):
 		return nil, fmt.Errorf("config: limits.cores must be above 0, %d at most", most)
 	case !(raw.Limits.MemoryMB >= memoryLeast && raw.Limits.MemoryMB <= most):
 		return nil, fmt.Errorf("config: limits.memory_mb must be within %d and %d", memoryLeast, most)
@@ -208,14 +241,14 @@
 		return nil, errors.New("config: settings is missing")
 	}
 	if len(raw.Known) > 0 && string(raw.Known) != "null" {
-		if c.known, err = discovery.Parse(raw.Known); err != nil {
+		if c.Known, err = discovery.Parse(raw.Known); err != nil {
 			return nil, fmt.Errorf("config: known: %w", err)
 		}
 	}
-	if c.settings, err = settings.Parse(raw.Settings); err != nil {
+	if c.Settings, err = settings.Parse(raw.Settings); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	s := c.settings
+	s := c.Settings
 	switch {
 	case s.DialTimeout <= 0:
 		return nil, errors.New("config: settings.caps.dialTimeoutUs must be above 0")
@@ -234,6 +267,6 @@
 	if err := s.Config.Validate(); err != nil {
 		return nil, fmt.Errorf("config: settings: %w", err)
 	}
-	c.asks = s.Config.AskWithin > 0
+	c.Asks = s.Config.AskWithin > 0
 	return c, nil
 }
--- a/internal/daemon/recall.go
+++ b/internal/config/recall.go
@@ -1,4 +1,4 @@
-package daemon
+package config
 
 import (
 	"fmt"
@@ -8,8 +8,9 @@
 	"chalkrack/internal/history"
 )
 
-func (c *Config) documents() history.Documents {
-	return history.Documents{Platform: c.platform, Features: c.own}
+// Documents are the files that were read.
+func (c *Config) Documents() history.Documents {
+	return history.Documents{Platform: c.Platform, Features: c.Own}
 }
 
 // Recall takes up what was remembered of changes, and returns the configuration to run:
@@ -26,56 +27,56 @@
 		return nil, err
 	}
 	if f.Folder == "" {
-		c.store = history.InMemory()
+		c.Store = history.InMemory()
 		slog.Info("changes of the configuration are remembered in memory only: no [config] folder")
 		return c.first(sum)
 	}
-	if c.store, err = history.Open(f.Folder); err != nil {
+	if c.Store, err = history.Open(f.Folder); err != nil {
 		return nil, err
 	}
-	c.lasting = true
-	id, remembered, err := c.store.Start()
+	c.Lasting = true
+	id, remembered, err := c.Store.Start()
 	if err != nil {
 		return nil, err
 	}
 	if id == 0 {
 		return c.first(sum)
 	}
-	running, err := c.revive(remembered)
+	running, err := c.Revive(remembered)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %d, as remembered: %w", id, err)
 	}
-	switch c.store.State().Read(sum) {
+	switch c.Store.State().Read(sum) {
 	case history.Known:
 	case history.Rejected:
 		slog.Warn("the files hold what was undone: the last good configuration runs", "id", id)
 	case history.Back:
-		if err := c.store.Drop("the files held the one before at a start"); err != nil {
+		if err := c.Store.Drop("the files held the one before at a start"); err != nil {
 			return nil, err
 		}
 		running = c
 	case history.Waits, history.New: // they were changed while nobody was there to read them
-		if c.store.State().Baking != 0 {
-			if err := c.store.Drop("the files held another one at a start"); err != nil {
+		if c.Store.State().Baking != 0 {
+			if err := c.Store.Drop("the files held another one at a start"); err != nil {
 				return nil, err
 			}
 		}
-		if _, err = c.store.Apply(c.documents(), sum, "found in the files at a start"); err != nil {
+		if _, err = c.Store.Apply(c.Documents(), sum, "found in the files at a start"); err != nil {
 			return nil, err
 		}
 		running = c
 	}
-	running.trial = c.store.State().Baking != 0
-	slog.Info("configuration", "id", running.id(), "on trial", running.trial)
-	return running, c.store.See(sum)
+	running.Trial = c.Store.State().Baking != 0
+	slog.Info("configuration", "id", running.ID(), "on trial", running.Trial)
+	return running, c.Store.See(sum)
 }
 
-// id is the number of the configuration that a start runs.
-func (c *Config) id() history.ID {
-	if c.store == nil {
+// ID is the number of the configuration that a start runs.
+func (c *Config) ID() history.ID {
+	if c.Store == nil {
 		return 0
 	}
-	st := c.store.State()
+	st := c.Store.State()
 	if st.Baking != 0 {
 		return st.Baking
 	}
@@ -84,20 +85,20 @@
 
 // first makes c what is kept in a store that remembers nothing.
 func (c *Config) first(sum string) (*Config, error) {
-	if _, err := c.store.Apply(c.documents(), sum, "at the first start"); err != nil {
+	if _, err := c.Store.Apply(c.Documents(), sum, "at the first start"); err != nil {
 		return nil, err
 	}
-	return c, c.store.See(sum)
+	return c, c.Store.See(sum)
 }
 
-// revive reads documents that were remembered. What is no setting but a fact of this
+// Revive reads documents that were remembered. What is no setting but a fact of this
 // start is c's: where discovery is, what it said last, and the seed.
-func (c *Config) revive(d history.Documents) (*Config, error) {
-	r, err := parse(d.Platform, d.Features, "the remembered features", c.getenv)
+func (c *Config) Revive(d history.Documents) (*Config, error) {
+	r, err := Parse(d.Platform, d.Features, "the remembered features", c.Getenv)
 	if err != nil {
 		return nil, err
 	}
-	r.store, r.lasting, r.Disk, r.Managed = c.store, c.lasting, c.Disk, c.Managed
-	r.discovery, r.known, r.seed = c.discovery, c.known, c.seed
+	r.Store, r.Lasting, r.Disk, r.Managed = c.Store, c.Lasting, c.Disk, c.Managed
+	r.Discovery, r.Known, r.Seed = c.Discovery, c.Known, c.Seed
 	return r, nil
 }
--- a/internal/daemon/bodies.go
+++ b/internal/daemon/bodies.go
@@ -33,7 +33,7 @@
 	}
 	cfg := body.Config{
 		Limits: keep.Limits{
-			Memory:     int64(b.MemoryKB(c.memoryMB)-b.OnTheWayKB()) << 10,
+			Memory:     int64(b.MemoryKB(c.MemoryMB)-b.OnTheWayKB()) << 10,
 			MemoryMost: int64(b.MemoryLongestKB) << 10,
 			MoveLeast:  spool.PieceMost,
 			Disk:       int64(b.DiskMB) << 20,
@@ -41,14 +41,14 @@
 			Files:      int64(b.Files),
 			Streams:    int64(b.Streams),
 			Lend:       b.Lend, High: b.High, Low: b.Low,
-			Tenants: len(c.settings.Config.Tenants),
+			Tenants: len(c.Settings.Config.Tenants),
 		},
 		Disk: keep.DiskLimits{
 			SlowAfter: time.Duration(b.SlowAfter), RestLeast: time.Duration(b.RestLeast),
 			RestMost: time.Duration(b.RestMost), Proof: b.Proof,
 		},
 		Window:  int64(b.WindowKB) << 10,
-		Classes: c.settings.Names(),
+		Classes: c.Settings.Names(),
 	}
 	for _, name := range cfg.Classes {
 		cfg.Limits.Shares = append(cfg.Limits.Shares, b.Shares[name])
@@ -83,8 +83,8 @@
 	b := &c.Features.Bodies
 	return &front.Bodies{
 		Store:  store,
-		Class:  func(name string) int { return c.settings.Class([]byte(name)) },
-		Tenant: func(name string) int { return c.settings.Tenant([]byte(name)) },
+		Class:  func(name string) int { return c.Settings.Class([]byte(name)) },
+		Tenant: func(name string) int { return c.Settings.Tenant([]byte(name)) },
 
 		Longest: int64(b.LongestMB) << 20, Rate: int64(b.RateKB) << 10, Within: time.Duration(b.Within),
 		ProxyStatus: b.ProxyStatus,
@@ -107,17 +107,17 @@
 
 // longStreams is how many bodies may be on their way at once: each has its window, and a
 // piece that is read.
-func (c *Config) longStreams() int64 {
-	return min(streamsMax, c.bodiesMost()/2/(longWindow+body.StreamPiece))
+func longStreams(c *Config) int64 {
+	return min(streamsMax, bodiesMost(c)/2/(longWindow+body.StreamPiece))
 }
 
 func newLong(c *Config) (*body.Store, error) {
-	classes := c.settings.Names()
-	kept := c.bodiesMost() / 4
+	classes := c.Settings.Names()
+	kept := bodiesMost(c) / 4
 	cfg := body.Config{
 		Limits: keep.Limits{
 			Memory: kept, MemoryMost: min(longKept, kept), MoveLeast: spool.PieceMost, FileMost: min(longKept, kept),
-			Streams: c.longStreams(), Lend: 1, High: 1, Low: 0.9, Shares: make([]float64, len(classes)),
+			Streams: longStreams(c), Lend: 1, High: 1, Low: 0.9, Shares: make([]float64, len(classes)),
 		},
 		Window: longWindow, Classes: classes,
 	}
@@ -130,8 +130,8 @@
 	}
 	return &front.Bodies{
 		Store: store, Longest: longMost, Rate: longRate, Within: longWithin,
-		Class:  func(name string) int { return c.settings.Class([]byte(name)) },
-		Tenant: func(name string) int { return c.settings.Tenant([]byte(name)) },
+		Class:  func(name string) int { return c.Settings.Class([]byte(name)) },
+		Tenant: func(name string) int { return c.Settings.Tenant([]byte(name)) },
 	}
 }
 
@@ -156,8 +156,8 @@
 	since := time.Now()
 	all := map[string]func() any{
 		"status": func() any {
-			s := Status{PID: os.Getpid(), Listen: c.listen, Ready: host.Ready(), Since: since, Calls: host.Held(),
-				Clients: srv.Conns(), Servers: pool.Conns(), MemoryMB: c.memoryMB, Sockets: c.sockets, Bodies: store != nil}
+			s := Status{PID: os.Getpid(), Listen: c.Listen, Ready: host.Ready(), Since: since, Calls: host.Held(),
+				Clients: srv.Conns(), Servers: pool.Conns(), MemoryMB: c.MemoryMB, Sockets: c.Sockets, Bodies: store != nil}
 			if store != nil {
 				v := store.View()
 				s.DiskState, s.MemoryUsed = v.DiskState, &v.Memory
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,9 +11,11 @@
 	"runtime/debug"
 	"time"
 
+	"chalkrack/internal/config"
 	"chalkrack/internal/core"
 	"chalkrack/internal/front"
 	"chalkrack/internal/radius/proxy"
+	"chalkrack/internal/rooms/changes"
 	"chalkrack/internal/rooms/pools"
 )
 
@@ -37,27 +39,30 @@
 	ruleEach = 100 * time.Millisecond
 )
 
+// Config is what a sidecar is told.
+type Config = config.Config
+
 // Tune fits the process to its limits.
 func Tune(c *Config) {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.cores))))
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	// Requests are short-lived garbage over a small live heap: collecting less
 	// often saves CPU, as far as the memory goes.
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(c.heapMost())
+	debug.SetMemoryLimit(heapMost(c))
 }
 
 // heapMost is what the heap may grow to, in bytes.
-func (c *Config) heapMost() int64 { return int64(c.memoryMB) << 20 * 6 / 10 }
+func heapMost(c *Config) int64 { return int64(c.MemoryMB) << 20 * 6 / 10 }
 
 // bodiesMost is how much of requests' bodies may be held, in bytes.
-func (c *Config) bodiesMost() int64 { return int64(c.memoryMB) << 20 * 3 / 8 }
+func bodiesMost(c *Config) int64 { return int64(c.MemoryMB) << 20 * 3 / 8 }
 
 // shortMost is how much of it is for those that the front holds itself.
-func (c *Config) shortMost() int64 {
+func shortMost(c *Config) int64 {
 	if c.Features.Bodies.Enabled {
-		return c.bodiesMost()
+		return bodiesMost(c)
 	}
-	return c.bodiesMost() / 4
+	return bodiesMost(c) / 4
 }
 
 // Run serves until term, and then until all that was taken is answered. At each hup
@@ -101,14 +106,14 @@
 // quit answers what is taken and ends. Where the platform holds the clients' socket,
 // another process takes what comes: this one stops to, and ends connections with an
 // answer, or where nothing has come on them.
-func quit(g *changer, host *core.Host, srv *front.Server, routes *pools.Routing, terminals *proxy.Proxy) {
-	began, longest := time.Now(), g.longest()
+func quit(g *changes.Changes, host *core.Host, srv *front.Server, routes *pools.Routing, terminals *proxy.Proxy) {
+	began, longest := time.Now(), g.Longest()
 	slog.Info("stopping", "held", host.Held())
 	host.QuitAt(longest + quitAfter)
 	routes.QuitAt(longest + quitAfter)
-	handsOver := g.c.inherited > 0
+	handsOver := g.Running().Inherited > 0
 	if handsOver {
-		g.ln.Close()
+		g.CloseListener()
 		srv.SetDraining(true)
 	} else {
 		srv.Drain()
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -27,14 +27,14 @@
 		Peers      []string
 		Settings   struct{ Rank int }
 	}
-	if err := json.Unmarshal(c.platform, &raw); err != nil {
+	if err := json.Unmarshal(c.Platform, &raw); err != nil {
 		return duty.Config{}, "", fmt.Errorf("config: %w", err)
 	}
 	f := &c.Features.Duty
 	if raw.PeerListen == "" || raw.Settings.Rank < 0 || raw.Settings.Rank >= len(raw.Peers) {
 		return duty.Config{}, "", errors.New("features: duty.enabled: the platform's configuration names no peers with this sidecar among them")
 	}
-	cfg := duty.Config{Inc: inc, Seed: c.seed, Watchers: f.Watchers, Every: time.Duration(f.Every), Step: time.Duration(f.Step), Period: time.Duration(f.Period), AckWait: time.Duration(f.AckWait),
+	cfg := duty.Config{Inc: inc, Seed: c.Seed, Watchers: f.Watchers, Every: time.Duration(f.Every), Step: time.Duration(f.Step), Period: time.Duration(f.Period), AckWait: time.Duration(f.AckWait),
 		Helpers: f.Helpers, Suspect: time.Duration(f.Suspect), Spread: f.Spread, Probes: f.Probes, PerNode: f.PerNode, Notes: f.Notes, Remember: time.Duration(f.Remember), Keyed: f.Key != ""}
 	for n, addr := range raw.Peers {
 		zone, known := f.Zones[addr]
@@ -59,14 +59,14 @@
 	if !c.Features.Duty.Enabled {
 		return nil, nil
 	}
-	if !c.settings.Config.Probes && c.settings.Config.ProbeCost > 0 {
-		slog.Info("duty: the platform prices probes", "probe", c.settings.Config.ProbeCost)
+	if !c.Settings.Config.Probes && c.Settings.Config.ProbeCost > 0 {
+		slog.Info("duty: the platform prices probes", "probe", c.Settings.Config.ProbeCost)
 	}
 	cfg, listen, err := dutyConfig(c, uint64(time.Now().UnixMilli()))
 	if err != nil {
 		return nil, err
 	}
 	f := &c.Features.Duty
-	return duties.New(duties.Config{Duty: cfg, Listen: listen, Inherited: c.inherited > 0, Key: []byte(f.Key), Path: f.Path,
+	return duties.New(duties.Config{Duty: cfg, Listen: listen, Inherited: c.Inherited > 0, Key: []byte(f.Key), Path: f.Path,
 		Slow: time.Duration(f.Slow), Timeout: time.Duration(f.Timeout), Probing: f.Probing}, host)
 }
--- a/internal/daemon/duties_test.go
+++ b/internal/daemon/duties_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/config/configtest"
 	"chalkrack/internal/core"
 	"chalkrack/internal/duration"
 	"chalkrack/internal/membership"
@@ -22,11 +23,11 @@
 // peered is a configuration with peers on loopback, this sidecar at a rank.
 func peered(t *testing.T, peers []string, rank int) *Config {
 	t.Helper()
-	p := newPair(t)
-	p.write(t, 5, "[duty]\nenabled = true\nkey = \"hush\"\n")
-	c := p.load(t)
+	p := configtest.New(t)
+	p.Write(t, 5, "[duty]\nenabled = true\nkey = \"hush\"\n")
+	c := p.Load(t)
 	var tree map[string]any
-	if err := json.Unmarshal(c.platform, &tree); err != nil {
+	if err := json.Unmarshal(c.Platform, &tree); err != nil {
 		t.Fatal(err)
 	}
 	tree["peers"] = peers
@@ -34,7 +35,7 @@
 		tree["peer_listen"] = peers[rank]
 	}
 	tree["settings"].(map[string]any)["rank"] = rank
-	c.platform, _ = json.Marshal(tree)
+	c.Platform, _ = json.Marshal(tree)
 	return c
 }
 
@@ -75,7 +76,7 @@
 	var all []*duties.Duties
 	for n := range cars {
 		c := peered(t, peers, n)
-		host, err := core.New(core.Config{Settings: c.settings, Seed: uint64(n), Transport: upstream.New(upstream.Config{MostConns: 1})})
+		host, err := core.New(core.Config{Settings: c.Settings, Seed: uint64(n), Transport: upstream.New(upstream.Config{MostConns: 1})})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -17,26 +17,26 @@
 
 // callers is how many descriptors are set aside for who calls the management address;
 // its listener not counted.
-func (c *Config) callers() int {
-	if c.management == "" {
+func callers(c *Config) int {
+	if c.Management == "" {
 		return 0
 	}
-	return max(8, min(callersMost, c.sockets/callersShare))
+	return max(8, min(callersMost, c.Sockets/callersShare))
 }
 
 // managementConns are the descriptors that management needs in all.
 func managementConns(c *Config) int {
-	if c.management == "" {
+	if c.Management == "" {
 		return 0
 	}
-	return c.callers() + 1
+	return callers(c) + 1
 }
 
 // operatingOf is what the room of operating is told.
 func operatingOf(s *sidecar) operating.Config {
 	c := s.c
-	cfg := operating.Config{Host: s.host, Figures: s.fig, Tell: s.tell, Pool: s.pool, Limits: operating.Limits{Memory: c.heapMost(), Conns: s.side, Bodies: c.shortMost()},
-		Shared: c.inherited > 0, Tmp: c.getenv("TMPDIR"), Listen: c.listen}
+	cfg := operating.Config{Host: s.host, Figures: s.fig, Tell: s.tell, Pool: s.pool, Limits: operating.Limits{Memory: heapMost(c), Conns: s.side, Bodies: shortMost(c)},
+		Shared: c.Inherited > 0, Tmp: c.Getenv("TMPDIR"), Listen: c.Listen}
 	if s.zoned != nil {
 		cfg.Zones = s.zoned
 	}
@@ -45,10 +45,10 @@
 
 // manage listens where operators call; nil where that is off.
 func manage(c *Config, deeds management.Deeds) (*management.Server, error) {
-	if c.management == "" {
+	if c.Management == "" {
 		return nil, nil
 	}
-	s, err := management.Listen(c.management, c.callers(), deeds)
+	s, err := management.Listen(c.Management, callers(c), deeds)
 	if err != nil {
 		return nil, err
 	}
@@ -61,8 +61,8 @@
 
 // listener is where clients come: one that the platform holds, or one of our own.
 func listener(c *Config) (net.Listener, error) {
-	if c.inherited > 0 {
-		return inherit(c.inherited, c.listen)
+	if c.Inherited > 0 {
+		return inherit(c.Inherited, c.Listen)
 	}
-	return net.Listen("tcp", c.listen)
+	return net.Listen("tcp", c.Listen)
 }
--- a/internal/daemon/pools_test.go
+++ b/internal/daemon/pools_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"chalkrack/internal/config/configtest"
 	"chalkrack/internal/core"
 	"chalkrack/internal/duration"
 	"chalkrack/internal/features"
@@ -16,19 +17,19 @@
 
 // What a pool has of its own stands in place of the platform's, and the rest is as there.
 func TestPoolSettings(t *testing.T) {
-	p := newPair(t)
-	p.write(t, 5, "")
-	c := p.load(t)
-	c.settings.Config.AskWithin, c.settings.Config.ColdFor = time.Minute, time.Hour
-	fixed := pools.Settings(c.settings, &features.Pool{Servers: []features.PoolServer{{}}, Attempts: 2, MaxHeld: 7, SlowStart: duration.Duration(time.Second), Cold: 0.25})
+	p := configtest.New(t)
+	p.Write(t, 5, "")
+	c := p.Load(t)
+	c.Settings.Config.AskWithin, c.Settings.Config.ColdFor = time.Minute, time.Hour
+	fixed := pools.Settings(c.Settings, &features.Pool{Servers: []features.PoolServer{{}}, Attempts: 2, MaxHeld: 7, SlowStart: duration.Duration(time.Second), Cold: 0.25})
 	if k := fixed.Config; fixed.MostHeld != 7 || k.MaxAttempts != 2 || k.AskWithin != 0 || k.ColdFor != time.Second || k.ColdFrom != 0.25 || !(k.OverloadFactor > 0) {
 		t.Errorf("%+v", fixed)
 	}
-	followed := pools.Settings(c.settings, &features.Pool{Discovery: "x", MaxHeld: 9})
-	if k := followed.Config; followed.MostHeld != 9 || k.MaxAttempts != 5 || k.AskWithin != 0 || k.ColdFor != time.Hour || followed.DrainGrace != c.settings.DrainGrace {
+	followed := pools.Settings(c.Settings, &features.Pool{Discovery: "x", MaxHeld: 9})
+	if k := followed.Config; followed.MostHeld != 9 || k.MaxAttempts != 5 || k.AskWithin != 0 || k.ColdFor != time.Hour || followed.DrainGrace != c.Settings.DrainGrace {
 		t.Errorf("%+v", followed)
 	}
-	if c.settings.Config.AskWithin != time.Minute || c.settings.Config.MaxAttempts != 5 {
+	if c.Settings.Config.AskWithin != time.Minute || c.Settings.Config.MaxAttempts != 5 {
 		t.Error("the platform's own changed")
 	}
 }
@@ -62,9 +63,9 @@
 			opened.Add(1) // and says nothing
 		}
 	}()
-	p := newPair(t)
-	p.write(t, 5, fmt.Sprintf("[[pools]]\nname = \"p\"\nmax_connections = 2\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
-	r, err := newRouting(p.load(t))
+	p := configtest.New(t)
+	p.Write(t, 5, fmt.Sprintf("[[pools]]\nname = \"p\"\nmax_connections = 2\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
+	r, err := newRouting(p.Load(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,8 +81,8 @@
 		t.Errorf("%d connections, %d of 5 calls ended at once", n, len(how))
 	}
 	// What waits in a line is told at once, however long the rest may take.
-	p.write(t, 5, fmt.Sprintf("[[pools]]\nname = \"q\"\nmax_active = 1\nmax_waiting = 5\nqueue_wait = \"1h\"\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
-	line, err := newRouting(p.load(t))
+	p.Write(t, 5, fmt.Sprintf("[[pools]]\nname = \"q\"\nmax_active = 1\nmax_waiting = 5\nqueue_wait = \"1h\"\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
+	line, err := newRouting(p.Load(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/reduced.go
+++ b/internal/daemon/reduced.go
@@ -18,14 +18,14 @@
 func levelConfig(c *Config) (level.Config, error) {
 	f := &c.Features.Level
 	var classes []level.Class
-	for n, name := range c.settings.Names() {
-		classes = append(classes, level.Class{Name: name, Worth: c.settings.Config.Classes[n].Worth})
+	for n, name := range c.Settings.Names() {
+		classes = append(classes, level.Class{Name: name, Worth: c.Settings.Config.Classes[n].Worth})
 	}
 	cfg := level.Default(classes)
 	for _, d := range []struct {
 		to   *time.Duration
 		from time.Duration
-	}{{&cfg.EnterAfter, time.Duration(f.EnterAfter)}, {&cfg.LeaveAfter, time.Duration(f.LeaveAfter)}, {&cfg.Proof, time.Duration(f.Proof)}, {&cfg.MostWait, c.settings.Config.MaxRetryAfter}} {
+	}{{&cfg.EnterAfter, time.Duration(f.EnterAfter)}, {&cfg.LeaveAfter, time.Duration(f.LeaveAfter)}, {&cfg.Proof, time.Duration(f.Proof)}, {&cfg.MostWait, c.Settings.Config.MaxRetryAfter}} {
 		if d.from > 0 {
 			*d.to = d.from
 		}
@@ -91,6 +91,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return levels.New(levels.Config{Level: cfg, Memory: int64(c.memoryMB) << 20, Conns: conns, Sockets: c.sockets - socketsSpare,
+	return levels.New(levels.Config{Level: cfg, Memory: int64(c.MemoryMB) << 20, Conns: conns, Sockets: c.Sockets - socketsSpare,
 		Open: func() int { return srv.Conns() + pool.Conns() }}, host)
 }
--- a/internal/daemon/second_test.go
+++ b/internal/daemon/second_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"chalkrack/internal/config"
 	"chalkrack/internal/daemon"
 	"chalkrack/internal/standin"
 )
@@ -62,13 +63,13 @@
 	}
 }
 
-func load(t *testing.T, config []byte) *daemon.Config {
+func load(t *testing.T, text []byte) *config.Config {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, config, 0o600); err != nil {
+	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c, err := daemon.Load(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] })
+	c, err := config.Load(func(name string) string { return map[string]string{"BALANCER_CONFIG": path}[name] })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -17,6 +17,7 @@
 	"chalkrack/internal/front"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
+	"chalkrack/internal/rooms/changes"
 	"chalkrack/internal/rooms/duties"
 	"chalkrack/internal/rooms/levels"
 	"chalkrack/internal/rooms/operating"
@@ -48,7 +49,7 @@
 	ln          net.Listener
 	srv         *front.Server
 	less        *levels.Levels
-	changing    *changer
+	changing    *changes.Changes
 
 	pages map[string]func() any // for operators
 	deeds map[string]admin.Deed
@@ -85,8 +86,8 @@
 }
 
 func (s *sidecar) bodies() (err error) {
-	if s.c.store != nil {
-		s.closes(func() { s.c.store.Close() })
+	if s.c.Store != nil {
+		s.closes(func() { s.c.Store.Close() })
 	}
 	if s.store, err = newStore(s.c); err == nil && s.store == nil {
 		s.long, err = newLong(s.c)
@@ -94,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	conns := s.c.sockets - socketsSpare - connectionsOf(s.c) - dutyConns(s.c) - managementConns(s.c)
+	conns := s.c.Sockets - socketsSpare - connectionsOf(s.c) - dutyConns(s.c) - managementConns(s.c)
 	if s.store != nil {
 		s.closes(func() { s.store.Close() })
 		conns -= filesOf(s.c)
@@ -109,28 +110,28 @@
 
 func (s *sidecar) core() (err error) {
 	c := s.c
-	s.fig = figures.New(c.settings.Names())
+	s.fig = figures.New(c.Settings.Names())
 	s.pool = upstream.New(upstream.Config{
-		ConnIdle:    c.settings.ConnIdle,
-		DialTimeout: c.settings.DialTimeout,
-		DrainGrace:  c.settings.DrainGrace,
+		ConnIdle:    c.Settings.ConnIdle,
+		DialTimeout: c.Settings.DialTimeout,
+		DrainGrace:  c.Settings.DrainGrace,
 		MostConns:   s.side,
 		// Half of the shortest aim is left for another attempt.
-		Stall:     c.settings.ShortestAim() / 2,
+		Stall:     c.Settings.ShortestAim() / 2,
 		Forwarded: s.fig.Forwarded,
 	})
-	s.watcher = &discovery.Watcher{Addr: c.discovery, Wait: pushWait}
-	if c.asks {
+	s.watcher = &discovery.Watcher{Addr: c.Discovery, Wait: pushWait}
+	if c.Asks {
 		s.watcher.Wait = askWait
 	}
-	if c.known != nil {
-		c.known.Whole = true
-		s.watcher.Track = membership.Holding(c.known)
+	if c.Known != nil {
+		c.Known.Whole = true
+		s.watcher.Track = membership.Holding(c.Known)
 	}
 	if s.zoned, err = newZoned(c); err != nil {
 		return err
 	}
-	s.host, err = core.New(core.Config{Watch: watchOf(s.zoned), First: generationOf(c, c.id()), Seed: c.seed, Transport: s.pool, Directory: s.watcher, Story: stories(c)})
+	s.host, err = core.New(core.Config{Watch: watchOf(s.zoned), First: c.Generation(c.ID()), Seed: c.Seed, Transport: s.pool, Directory: s.watcher, Story: stories(c)})
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -183,8 +184,8 @@
 	s.closes(s.pool.Close)
 	s.closes(s.host.Close)
 	s.closes(s.watcher.Close)
-	if c.known != nil {
-		s.ops.Listed(c.known)
+	if c.Known != nil {
+		s.ops.Listed(c.Known)
 	}
 	if s.zoned != nil {
 		s.zoned.Begin()
@@ -198,7 +199,7 @@
 	if !c.Features.Radius.Enabled {
 		return nil
 	}
-	s.terminals, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Base: c.settings.Config, Grace: c.settings.DrainGrace, Seed: c.seed})
+	s.terminals, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Base: c.Settings.Config, Grace: c.Settings.DrainGrace, Seed: c.Seed})
 	if err != nil {
 		return err
 	}
@@ -224,7 +225,7 @@
 	if s.ln, err = listener(c); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	s.srv = front.New(front.Config{MostConns: s.side, MostBody: c.shortMost(), Bodies: frontBodies(c, s.store), Long: frontLong(c, s.long), TellConfig: c.store != nil, Choose: s.routes.Chooser(), Figures: s.fig}, s.host)
+	s.srv = front.New(front.Config{MostConns: s.side, MostBody: shortMost(c), Bodies: frontBodies(c, s.store), Long: frontLong(c, s.long), TellConfig: c.Store != nil, Choose: s.routes.Chooser(), Figures: s.fig}, s.host)
 	s.ops.Serves(s.srv)
 	return nil
 }
@@ -251,11 +252,10 @@
 }
 
 func (s *sidecar) changes() error {
-	s.changing = newChanger(s.c, s.host, s.pool, s.srv, s.watcher, s.ln)
-	s.changing.fig = s.fig
-	s.closes(s.changing.close)
-	if s.changing.on() {
-		s.every(ruleEach, func(time.Time) { s.changing.watch() })
+	s.changing = changes.New(changes.Config{Running: s.c, Host: s.host, Pool: s.pool, Front: s.srv, Discovery: s.watcher, Listener: s.ln, Figures: s.fig})
+	s.closes(s.changing.Close)
+	if s.changing.On() {
+		s.every(ruleEach, func(time.Time) { s.changing.Watch() })
 	}
 	return nil
 }
@@ -268,7 +268,7 @@
 	for name, page := range pages(s.c, s.host, s.srv, s.pool, s.store) {
 		s.shows(name, page)
 	}
-	for name, deed := range s.changing.pages(s.pages) {
+	for name, deed := range s.changing.Pages(s.pages) {
 		s.deeds[name] = deed
 	}
 	s.deeds["operate"] = s.ops.Deed
@@ -276,7 +276,7 @@
 		s.less.Pages(s.pages, s.deeds)
 	}
 	listen := admin.Listen
-	if s.c.inherited > 0 { // the process before may still have it
+	if s.c.Inherited > 0 { // the process before may still have it
 		listen = admin.Succeed
 	}
 	operators, err := listen(path, s.pages, s.deeds)
@@ -289,20 +289,20 @@
 
 // serve serves until term.
 func (s *sidecar) serve(ready func(net.Addr)) error {
-	if s.c.inherited == 0 {
+	if s.c.Inherited == 0 {
 		go s.srv.Serve(s.ln)
 	}
 	s.routes.Serve(s.srv)
-	if !s.c.asks && !s.follow() {
+	if !s.c.Asks && !s.follow() {
 		s.quit()
 		return nil
 	}
-	if s.c.inherited > 0 {
+	if s.c.Inherited > 0 {
 		// Not before: what another process of this sidecar can serve is its.
 		go s.srv.Serve(s.ln)
 	}
 	s.ops.Serve()
-	slog.Info("ready", "listen", s.c.listen)
+	slog.Info("ready", "listen", s.c.Listen)
 	if ready != nil {
 		ready(s.ln.Addr())
 	}
@@ -324,11 +324,10 @@
 		case do := <-due:
 			do()
 		case <-s.hup:
-			s.changing.reload()
+			s.changing.Reload()
 			s.plan.Reload()
-		case a := <-s.changing.asks:
-			v, err := a.do()
-			a.reply <- answered{v, err}
+		case a := <-s.changing.Asks():
+			a.Answer()
 		case <-s.term:
 			s.quit()
 			return nil
--- a/internal/daemon/weighted.go
+++ b/internal/daemon/weighted.go
@@ -21,7 +21,7 @@
 	}
 	cfg := weights.Config{Zone: f.Zone, Every: time.Duration(f.Every), Step: f.Step, Fade: time.Duration(f.Fade), Strangers: f.Strangers, Off: f.Off, OffShare: f.OffShare, Proof: f.Proof}
 	if cfg.Zone == "" {
-		cfg.Zone = c.settings.Config.Zone
+		cfg.Zone = c.Settings.Config.Zone
 	}
 	return weighted.New(host, f.File, key, cfg), nil
 }
--- a/internal/daemon/zoned.go
+++ b/internal/daemon/zoned.go
@@ -21,16 +21,16 @@
 		Peers    []string
 		Settings struct{ Rank int }
 	}
-	if err := json.Unmarshal(c.platform, &raw); err != nil {
+	if err := json.Unmarshal(c.Platform, &raw); err != nil {
 		return evacuation.Config{}, "", fmt.Errorf("config: %w", err)
 	}
 	cfg := ZonesOf(&c.Features.Zones)
-	cfg.Self, cfg.Peers, cfg.Seed, cfg.Inc = raw.Settings.Rank, len(raw.Peers), c.seed, inc
+	cfg.Self, cfg.Peers, cfg.Seed, cfg.Inc = raw.Settings.Rank, len(raw.Peers), c.Seed, inc
 	mean := 0.0
-	for _, k := range c.settings.Config.Classes {
-		mean += k.Worth / float64(len(c.settings.Config.Classes))
+	for _, k := range c.Settings.Config.Classes {
+		mean += k.Worth / float64(len(c.Settings.Config.Classes))
 	}
-	for _, k := range c.settings.Config.Classes {
+	for _, k := range c.Settings.Config.Classes {
 		cfg.Dear = append(cfg.Dear, k.Worth > mean)
 	}
 	if err := cfg.Validate(); err != nil {
--- a/internal/daemon/zoned_test.go
+++ b/internal/daemon/zoned_test.go
@@ -36,7 +36,7 @@
 		"zones.proof":     func(c *Config) { c.Features.Zones.Proof = duration.Duration(time.Millisecond) },
 		"zones.folder":    func(c *Config) { c.Features.Zones.Folder = "/nowhere" },
 		"zones.witnesses": func(c *Config) { c.Features.Zones.Witnesses = -1 },
-		"zones.self":      func(c *Config) { c.platform = []byte(`{"peers":["127.0.0.1:1"],"settings":{"rank":4}}`) },
+		"zones.self":      func(c *Config) { c.Platform = []byte(`{"peers":["127.0.0.1:1"],"settings":{"rank":4}}`) },
 	} {
 		c := zonedConfig(t, "")
 		spoil(c)
@@ -112,7 +112,7 @@
 	if _, err := newDuties(c, nil); err == nil || !strings.Contains(err.Error(), "peer_listen") {
 		t.Errorf("a second sidecar at the port: %v", err)
 	}
-	c.inherited = 9
+	c.Inherited = 9
 	s, err := newDuties(c, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/rig/changes_test.go
+++ b/internal/rig/changes_test.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"chalkrack/internal/admin"
-	"chalkrack/internal/daemon"
 	"chalkrack/internal/rig"
+	"chalkrack/internal/rooms/changes"
 	"chalkrack/internal/standin"
 )
 
@@ -160,7 +160,7 @@
 	attempts := map[int]int{1: 5} // by configuration
 	lacks := make(map[int]string) // the class that it does not know
 	running := site.JSON("127.0.0.1:0", 1)
-	status := func() (st daemon.ChangeStatus) {
+	status := func() (st changes.Status) {
 		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
 			t.Fatal(err)
 		}
@@ -181,9 +181,9 @@
 		if string(next) == string(edited(t, running)) {
 			continue
 		}
-		var out daemon.Outcome
+		var out changes.Outcome
 		began := time.Now()
-		err := admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: next, Why: c.name}, &out)
+		err := admin.Do(t.Context(), socket, "config/apply", changes.Proposal{Platform: next, Why: c.name}, &out)
 		what := "refused"
 		if err == nil && out.ID == 0 {
 			continue // the same in other words
@@ -281,7 +281,7 @@
 	}
 	defer d.Stop()
 	first := site.JSON("127.0.0.1:0", 1)
-	status := func() (st daemon.ChangeStatus) {
+	status := func() (st changes.Status) {
 		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
 			t.Fatal(err)
 		}
@@ -293,7 +293,7 @@
 			t.Fatal(err)
 		}
 	}
-	until := func(what string, ok func(daemon.ChangeStatus) bool) daemon.ChangeStatus {
+	until := func(what string, ok func(changes.Status) bool) changes.Status {
 		t.Helper()
 		for end := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 			st := status()
@@ -308,15 +308,15 @@
 	two, three := edited(t, first, caps("attemptsCap", 4)), edited(t, first, caps("attemptsCap", 3))
 	reload(first[:len(first)/2])
 	reload(two)
-	until("on trial", func(st daemon.ChangeStatus) bool { return st.Trial == 2 })
+	until("on trial", func(st changes.Status) bool { return st.Trial == 2 })
 	reload(three)
-	until("the next one waits", func(st daemon.ChangeStatus) bool { return st.Pending })
-	st := until("the first is kept, the next on trial", func(st daemon.ChangeStatus) bool { return st.Running == 2 && st.Trial == 3 })
+	until("the next one waits", func(st changes.Status) bool { return st.Pending })
+	st := until("the first is kept, the next on trial", func(st changes.Status) bool { return st.Running == 2 && st.Trial == 3 })
 	if e := st.Events[len(st.Events)-2]; e.What != "kept" || !strings.Contains(e.Why, "too few calls") {
 		t.Errorf("%+v", e)
 	}
 	reload(two)
-	until("the old file ends the trial", func(st daemon.ChangeStatus) bool { return st.Running == 2 && st.Trial == 0 })
+	until("the old file ends the trial", func(st changes.Status) bool { return st.Running == 2 && st.Trial == 0 })
 	for range 20 {
 		reload(three) // undone before
 		reload(two)
@@ -327,11 +327,11 @@
 		t.Errorf("what was undone is on trial again: %+v", st)
 	}
 	// Operators may mean it; and end it.
-	var out daemon.Outcome
-	if err := admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: three}, &out); err != nil || out.ID != 4 {
+	var out changes.Outcome
+	if err := admin.Do(t.Context(), socket, "config/apply", changes.Proposal{Platform: three}, &out); err != nil || out.ID != 4 {
 		t.Fatalf("%+v, %v", out, err)
 	}
-	if err := admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: first}, &out); err == nil || !strings.Contains(err.Error(), "on trial: 4") {
+	if err := admin.Do(t.Context(), socket, "config/apply", changes.Proposal{Platform: first}, &out); err == nil || !strings.Contains(err.Error(), "on trial: 4") {
 		t.Errorf("two at once: %v", err)
 	}
 	// Discovery moves and a server drains meanwhile: both are facts, which an undo leaves.
@@ -340,11 +340,11 @@
 		t.Fatal(err)
 	}
 	reload([]byte(strings.Replace(string(two), old, site.Discovery.Addr(), 1)))
-	until("discovery is followed within the trial", func(st daemon.ChangeStatus) bool { return site.Discovery.Watching() > 0 && st.Trial == 4 })
+	until("discovery is followed within the trial", func(st changes.Status) bool { return site.Discovery.Watching() > 0 && st.Trial == 4 })
 	site.Discovery.Change(site.Endpoint(1, "draining"))
 	rollback := func() {
 		t.Helper()
-		if err := admin.Do(t.Context(), socket, "config/rollback", struct{}{}, new(daemon.ChangeStatus)); err != nil {
+		if err := admin.Do(t.Context(), socket, "config/rollback", struct{}{}, new(changes.Status)); err != nil {
 			t.Fatal(err)
 		}
 		if st := status(); st.Running != 2 || st.Trial != 0 {
@@ -355,7 +355,7 @@
 	client := standin.NewClient(d.Addr)
 	defer client.Close()
 	calls := 0
-	until("the drain is kept", func(daemon.ChangeStatus) bool {
+	until("the drain is kept", func(changes.Status) bool {
 		for n := range 20 {
 			calls++
 			client.Do(t.Context(), standin.Ask{ID: fmt.Sprint("d", calls, "-", n), Class: standin.Class{Name: "status-check"}, Deadline: 5 * time.Second})
@@ -367,7 +367,7 @@
 		t.Error("the undo took discovery's address back")
 	}
 	// The way back from this one would be refused as a change; as an undo it is not.
-	if err := admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: edited(t, two, ofClass("id-register", "effect", "once"))}, &out); err != nil || out.ID != 5 {
+	if err := admin.Do(t.Context(), socket, "config/apply", changes.Proposal{Platform: edited(t, two, ofClass("id-register", "effect", "once"))}, &out); err != nil || out.ID != 5 {
 		t.Fatalf("%+v, %v", out, err)
 	}
 	rollback()
@@ -387,7 +387,7 @@
 	if st := status(); st.Trial != 6 || !st.Alone {
 		t.Errorf("after a start: %+v", st)
 	}
-	until("kept alone", func(st daemon.ChangeStatus) bool { return st.Running == 6 && st.Trial == 0 })
+	until("kept alone", func(st changes.Status) bool { return st.Running == 6 && st.Trial == 0 })
 }
 
 // A daemon that is killed at any moment of a change starts under one configuration whole:
@@ -418,7 +418,7 @@
 	rng := rand.New(rand.NewPCG(uint64(n), 8))
 	allows := map[int]int{1: 5}
 	last, trials := 1, 0
-	status := func() (st daemon.ChangeStatus) {
+	status := func() (st changes.Status) {
 		t.Helper()
 		// The port is there a moment before the socket.
 		for end := time.Now().Add(20 * time.Second); ; time.Sleep(2 * time.Millisecond) {
@@ -441,7 +441,7 @@
 		applied := make(chan struct{})
 		go func() {
 			defer close(applied)
-			admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: edited(t, platform, caps("attemptsCap", c))}, new(daemon.Outcome))
+			admin.Do(t.Context(), socket, "config/apply", changes.Proposal{Platform: edited(t, platform, caps("attemptsCap", c))}, new(changes.Outcome))
 		}()
 		time.Sleep(time.Duration(rng.IntN(20000)) * time.Microsecond)
 		d.Kill()
@@ -508,9 +508,9 @@
 			}
 			move := func(to string) error {
 				text := strings.Replace(string(site.JSON("127.0.0.1:0", 1)), `"listen":"127.0.0.1:0"`, `"listen":"`+to+`"`, 1)
-				return admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: []byte(text)}, new(daemon.Outcome))
+				return admin.Do(t.Context(), socket, "config/apply", changes.Proposal{Platform: []byte(text)}, new(changes.Outcome))
 			}
-			var st daemon.ChangeStatus
+			var st changes.Status
 			if err := move(taken.Addr().String()); err == nil || !strings.Contains(err.Error(), "listen") {
 				t.Errorf("a taken address: %v", err)
 			}
@@ -581,7 +581,7 @@
 	defer d.Stop()
 	first := site.JSON("127.0.0.1:0", 1)
 	apply := func(attempts int) error {
-		return admin.Do(t.Context(), socket, "config/apply", daemon.Proposal{Platform: edited(t, first, caps("attemptsCap", attempts))}, new(daemon.Outcome))
+		return admin.Do(t.Context(), socket, "config/apply", changes.Proposal{Platform: edited(t, first, caps("attemptsCap", attempts))}, new(changes.Outcome))
 	}
 	if err := apply(4); err != nil {
 		t.Fatal(err)
@@ -589,7 +589,7 @@
 	if err := os.Mkdir(inTheWay, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	var st daemon.ChangeStatus
+	var st changes.Status
 	if err := admin.Do(t.Context(), socket, "config/rollback", struct{}{}, &st); err != nil || st.Problem == "" {
 		t.Errorf("%+v, %v", st, err)
 	}
@@ -607,7 +607,7 @@
 		t.Fatal(err)
 	}
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		st = daemon.ChangeStatus{}
+		st = changes.Status{}
 		if err := admin.Ask(t.Context(), socket, "config", &st); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"chalkrack/internal/config"
 	"chalkrack/internal/daemon"
 	"chalkrack/internal/durable"
 	"chalkrack/internal/spool"
@@ -279,14 +280,14 @@
 	d.term, d.done = make(chan os.Signal, 1), make(chan error, 1)
 	all := map[string]string{"BALANCER_CONFIG": d.path, "FAWN_FEATURES": d.features()}
 	maps.Copy(all, env)
-	c, err := daemon.Load(func(name string) string { return all[name] })
+	c, err := config.Load(func(name string) string { return all[name] })
 	if err != nil {
 		os.RemoveAll(d.dir)
 		return nil, err
 	}
 	c.Disk = disk
 	c.Managed = func(a net.Addr) { d.Management = a.String() } // before it is ready
-	if c, err = daemon.Recall(c); err != nil {
+	if c, err = config.Recall(c); err != nil {
 		os.RemoveAll(d.dir)
 		return nil, err
 	}
--- /dev/null
+++ b/internal/rooms/changes/changes_test.go
@@ -0,0 +1,173 @@
+package changes
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"chalkrack/internal/change"
+	"chalkrack/internal/config"
+	"chalkrack/internal/config/configtest"
+	"chalkrack/internal/core"
+	"chalkrack/internal/discovery"
+	"chalkrack/internal/front"
+	"chalkrack/internal/history"
+	"chalkrack/internal/upstream"
+)
+
+// starts is a changer as a start makes it, without servers or clients.
+func starts(t *testing.T, c *config.Config) *Changes {
+	t.Helper()
+	c, err := config.Recall(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ts := times(c)
+	pool := upstream.New(upstream.Config{ConnIdle: ts.ConnIdle, DialTimeout: ts.DialTimeout, DrainGrace: ts.DrainGrace, MostConns: 10})
+	host, err := core.New(core.Config{First: c.Generation(c.ID()), Seed: 1, Transport: pool})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := New(Config{Running: c, Host: host, Pool: pool, Front: front.New(front.Config{MostConns: 10}, host), Discovery: new(discovery.Watcher), Listener: ln})
+	t.Cleanup(func() { g.Close(); host.Close(); pool.Close(); c.Store.Close() })
+	return g
+}
+
+// edit is what runs with a part of its text replaced.
+func (g *Changes) edit(t *testing.T, old, new string) *config.Config {
+	t.Helper()
+	text := strings.Replace(string(g.c.Platform), old, new, 1)
+	if text == string(g.c.Platform) {
+		t.Fatalf("%s is not in it", old)
+	}
+	next, err := config.Parse([]byte(text), g.c.Own, "features", g.c.Getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// What belongs to no single call goes by both configurations while both serve, and by the
+// one that is left afterwards; the address of discovery is a fact that no verdict changes;
+// one trial is enough at a time.
+func TestWhatAllCallsShare(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		p := configtest.New(t)
+		p.Write(t, 5, "[config]\nenabled = true\n")
+		g := starts(t, p.Load(t))
+		next := g.edit(t, `"connIdleUs":30000000,"dialTimeoutUs":250000},"guarantees":{"drainGraceUs":2000000}`,
+			`"connIdleUs":20000000,"dialTimeoutUs":900000},"guarantees":{"drainGraceUs":1000000}`)
+		next.Settings.Deadlines[0] = time.Minute
+		if out, err := g.propose(next, "", false); err != nil || out.ID != 2 {
+			t.Fatalf("%+v, %v", out, err)
+		}
+		if got := g.pool.Times(); got != (upstream.Times{ConnIdle: 20 * time.Second, DialTimeout: 900 * time.Millisecond, DrainGrace: time.Second}) {
+			t.Errorf("on trial: %+v", got)
+		}
+		if g.Longest() != time.Minute {
+			t.Errorf("a stop waits %v", g.Longest())
+		}
+		if _, err := g.propose(g.edit(t, `"attemptsCap":5`, `"attemptsCap":4`), "", false); !errors.Is(err, history.ErrBaking) {
+			t.Errorf("two at once: %v", err)
+		}
+		g.c.Discovery = "127.0.0.1:99" // as a SIGHUP within the trial has it
+		g.settle(keep, "")
+		want := times(g.c)
+		if got := g.pool.Times(); got != want || (want.ConnIdle == 20*time.Second) != keep {
+			t.Errorf("keep %v: %+v, want %+v", keep, got, want)
+		}
+		if g.c.Discovery != "127.0.0.1:99" || (g.c == next) != keep {
+			t.Errorf("keep %v: discovery %s", keep, g.c.Discovery)
+		}
+	}
+}
+
+// The way back of a trial that a start found is a change like any: one that takes a start
+// is refused whole, and the trial goes on; any other is made at once.
+func TestWayBackBehindAStart(t *testing.T) {
+	p := configtest.New(t)
+	folder := t.TempDir()
+	own := "[config]\nenabled = true\nfolder = \"" + folder + "\"\n"
+	p.Write(t, 5, own)
+	first, err := config.Recall(p.Load(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	first.Store.Close()
+	p.Write(t, 4, strings.Replace(own, "enabled", "bake = \"1h\"\nenabled", 1))
+	g := starts(t, p.Load(t))
+	if !g.c.Trial {
+		t.Fatal("not on trial")
+	}
+	if _, err := g.rollback(nil); !errors.Is(err, errNeedsStart) {
+		t.Errorf("%v", err)
+	}
+	if st := g.c.Store.State(); st.Baking == 0 || !g.c.Trial || g.next != nil {
+		t.Errorf("half undone: %+v", st)
+	}
+	g.Close()
+	g.c.Store.Close()
+
+	p.Write(t, 3, own)
+	g = starts(t, p.Load(t))
+	if _, err := g.rollback(nil); err != nil {
+		t.Fatal(err)
+	}
+	st := g.c.Store.State()
+	if st.Baking != 0 || g.c.Trial || g.c.Settings.Config.MaxAttempts != 5 || g.host.Generations().Current.ID != int(st.Good) || g.host.Generations().Next != nil {
+		t.Errorf("%+v, %d attempts", st, g.c.Settings.Config.MaxAttempts)
+	}
+}
+
+// What the parts of a daemon were made with waits for a start, whatever else a change
+// says: nothing of it is taken.
+func TestPlanWaitsForAStart(t *testing.T) {
+	p := configtest.New(t)
+	const bodies = "[bodies]\nenabled = true\n"
+	const radius = "[radius]\nenabled = true\nauth = \"127.0.0.1:1812\"\nacct = \"127.0.0.1:1813\"\n[[radius.clients]]\nname = \"c\"\nrange = \"10.0.0.0/8\"\nsecret = \"a long secret\"\n" +
+		"[[radius.servers]]\nname = \"r\"\nauth = \"127.0.0.1:1\"\nacct = \"127.0.0.1:2\"\nsecret = \"another secret\"\n"
+	for _, c := range []struct {
+		own, old, new, field string // field: empty, it may be made
+	}{
+		{"", `"attemptsCap":5`, `"attemptsCap":4`, ""},
+		{bodies, `"attemptsCap":5`, `"attemptsCap":4`, ""},
+		{bodies, `"classes":[`, `"classes":[{"name":"more","effect":"once","promiseUs":1,"hardLimitUs":1},`, "settings.classes[more].name"},
+		{"", `"classes":[`, `"classes":[{"name":"more","effect":"once","promiseUs":1,"hardLimitUs":1},`, ""},
+		{radius, `"attemptsCap":5`, `"attemptsCap":4`, "settings.caps.attemptsCap"},
+		{"", `"zone":"z"`, `"zone":"y"`, "settings.zone"},
+		{"", `"memory_mb":64`, `"memory_mb":96`, "limits.memory_mb"},
+	} {
+		p.Write(t, 5, c.own)
+		running := p.Load(t)
+		text := bytes.Replace(running.Platform, []byte(c.old), []byte(c.new), 1)
+		next, err := config.Parse(text, running.Own, "features", p.Getenv)
+		if err != nil {
+			t.Fatal(err)
+		}
+		plan, why, err := planOf(running, next, change.Use{})
+		if err != nil || len(plan.Changes) == 0 {
+			t.Fatalf("%+v, %v", plan, err)
+		}
+		said := fmt.Sprint(why)
+		if (c.field == "") != (len(why) == 0) || !strings.Contains(said, c.field) || c.field != "" && !strings.Contains(said, "next start") {
+			t.Errorf("%s to %s with %.10q: %v", c.old, c.new, c.own, why)
+		}
+	}
+}
+
+// While two configurations serve, what their connections have in common keeps to both.
+func TestStrictest(t *testing.T) {
+	a := upstream.Times{ConnIdle: 3, DialTimeout: 1, DrainGrace: 2}
+	b := upstream.Times{ConnIdle: 2, DialTimeout: 4, DrainGrace: 5}
+	if got := strictest(a, b); got != (upstream.Times{ConnIdle: 2, DialTimeout: 4, DrainGrace: 2}) || got != strictest(b, a) {
+		t.Errorf("%+v", got)
+	}
+}
