--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -61,6 +61,7 @@
 // Sidecars that were stopped for longer than their clients wait go on: what lay in their
 // sockets, and what they were about to send, is for nobody any more.
 func TestStoppedSidecarsSendNothingOld(t *testing.T) {
+	t.Parallel()
 	s := shipped(t, "stopped")
 	s.Faults = s.Faults[:2]
 	s.Faults[0].For = duration.Duration(1500 * time.Millisecond)
@@ -80,6 +81,7 @@
 
 // The same of sidecars that get a tenth of a core, and of keyed calls.
 func TestStarvedSidecarsSendNothingOld(t *testing.T) {
+	t.Parallel()
 	s := shipped(t, "stopped")
 	s.Class, s.Length = "id-register", duration.Duration(5*time.Second)
 	s.Faults = []Fault{{Kind: Starve, On: "sidecars", Share: 0.1, At: duration.Duration(time.Second), For: duration.Duration(3 * time.Second)}}
--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -96,8 +96,10 @@
 // within the stated time, those with hardly a call too; few calls are lost; few go first
 // when it is back, and then all.
 func TestFleetLeavesAndReturns(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"zone-vanishes", "zone-dies"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := leaving(t, name, 1500*time.Millisecond, 12*time.Second)
 			s.Quiet = 2
 			h := play(t, s)
@@ -168,8 +170,10 @@
 // What is no failing zone for the fleet: half of it is cut off, one has a bad link, all
 // zones fail alike. Nobody leaves but those who are cut off, and they alone.
 func TestNoFalseDeparture(t *testing.T) {
+	t.Parallel()
 	for name, cut := range map[string]int{"half-cut": 6, "bad-link": 1, "all-zones": 0} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			h := play(t, leaving(t, name, 3*time.Second, time.Second))
 			for _, z := range []string{"a", "b", "c"} {
 				if by := h.leftBy(z, "out"); len(by) > 0 {
@@ -194,6 +198,7 @@
 // Sidecars are killed and started again while the fleet leaves and after: each holds the
 // fleet's stage soon after its start, and sends nothing there until the fleet does.
 func TestRestartsTakeTheFleetsStage(t *testing.T) {
+	t.Parallel()
 	s := leaving(t, "restarts", 5*time.Second, 500*time.Millisecond)
 	s.Features = strings.Replace(zoned, `dwell = "1s"`, `dwell = "20s"`+"\n"+`dwell_most = "1m"`, 1)
 	h := play(t, s)
@@ -220,8 +225,10 @@
 // zones lost whose rest can't carry it; servers that drain while sidecars are stopped. No rule
 // is broken, no cold server pushed over, and the last zone stays in use.
 func TestHarderZones(t *testing.T) {
+	t.Parallel()
 	for name, last := range map[string]string{"other-servers": "b", "cold-refuge": "b", "too-little": "c", "drain": "a"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := shipped(t, name)
 			s.Features = zoned
 			h := play(t, s)
@@ -246,6 +253,7 @@
 // An order to leave reaches all, through a fleet that hears half of the notes only; the
 // later order wins everywhere.
 func TestOrdersReachAll(t *testing.T) {
+	t.Parallel()
 	s := shipped(t, "zone-vanishes")
 	s.Features, s.Length = zoned, duration.Duration(9*time.Second)
 	order := func(at time.Duration, on, action string) Fault {
@@ -273,6 +281,7 @@
 
 // Without the section nothing is sent among sidecars, and no zone is left.
 func TestOffByDefault(t *testing.T) {
+	t.Parallel()
 	s := leaving(t, "zone-vanishes", 2*time.Second, 500*time.Millisecond)
 	s.Features = "[admin]\nsocket = \"@SOCKET@\"\n"
 	h := play(t, s)
