--- a/internal/fleet/schedule.go
+++ b/internal/fleet/schedule.go
@@ -212,41 +212,53 @@
 	rng := rand.New(rand.NewPCG(seed, 0xf1ee7))
 	s := base
 	s.Seed, s.Name, s.Faults = seed, fmt.Sprintf("%s-%d", base.Name, seed), slices.Clone(base.Faults)
-	length := time.Duration(base.Length)
+	for range 1 + rng.IntN(max(1, most)) {
+		s.Faults = append(s.Faults, s.drawn(rng))
+	}
+	return &s
+}
+
+// dice are what a fault is drawn by.
+type dice interface {
+	IntN(n int) int // from 0 to below n
+	Int64N(n int64) int64
+	Float64() float64 // from 0 to below 1
+}
+
+// drawn is one random fault of the schedule's fleet.
+func (s *Schedule) drawn(rng dice) Fault {
+	length := time.Duration(s.Length)
 	ms := func(from, to int) duration.Duration {
 		return duration.Duration(time.Duration(from+rng.IntN(to-from+1)) * time.Millisecond)
 	}
 	zone := func() string { return "zone:" + s.Zones[rng.IntN(len(s.Zones))] }
 	sidecar := func() string { return fmt.Sprintf("sidecar:%d", 1+rng.IntN(s.Sidecars)) }
-	for range 1 + rng.IntN(max(1, most)) {
-		f := Fault{At: duration.Duration(rng.Int64N(int64(length) * 2 / 3)), For: ms(200, int(length.Milliseconds()/3))}
-		switch rng.IntN(12) {
-		case 0, 1:
-			f.Kind, f.From, f.To = Cut, "sidecars", zone()
-		case 2:
-			f.Kind, f.From, f.To, f.OneWay = Cut, sidecar(), zone(), rng.IntN(2) == 0
-		case 3:
-			f.Kind, f.From, f.To, f.By, f.Spread = Delay, "sidecars", zone(), ms(5, 200), ms(0, 50)
-		case 4:
-			f.Kind, f.From, f.To = Reset, "sidecars", zone()
-		case 5:
-			f.Kind, f.From, f.To, f.Share = Loss, "sidecars", "sidecars", 0.2+0.6*rng.Float64()
-		case 6:
-			f.Kind, f.On = Stop, sidecar()
-		case 7:
-			f.Kind, f.On = Kill, sidecar()
-		case 8:
-			f.Kind, f.On, f.Share = Starve, sidecar(), 0.1+0.4*rng.Float64()
-		case 9:
-			f.Kind, f.On = Fail, zone()
-		case 10:
-			f.Kind, f.On, f.Factor = Slow, zone(), 2+8*rng.Float64()
-		case 11:
-			f.Kind, f.On = Kill, zone()
-		}
-		s.Faults = append(s.Faults, f)
+	f := Fault{At: duration.Duration(rng.Int64N(int64(length) * 2 / 3)), For: ms(200, int(length.Milliseconds()/3))}
+	switch rng.IntN(12) {
+	case 0, 1:
+		f.Kind, f.From, f.To = Cut, "sidecars", zone()
+	case 2:
+		f.Kind, f.From, f.To, f.OneWay = Cut, sidecar(), zone(), rng.IntN(2) == 0
+	case 3:
+		f.Kind, f.From, f.To, f.By, f.Spread = Delay, "sidecars", zone(), ms(5, 200), ms(0, 50)
+	case 4:
+		f.Kind, f.From, f.To = Reset, "sidecars", zone()
+	case 5:
+		f.Kind, f.From, f.To, f.Share = Loss, "sidecars", "sidecars", 0.2+0.6*rng.Float64()
+	case 6:
+		f.Kind, f.On = Stop, sidecar()
+	case 7:
+		f.Kind, f.On = Kill, sidecar()
+	case 8:
+		f.Kind, f.On, f.Share = Starve, sidecar(), 0.1+0.4*rng.Float64()
+	case 9:
+		f.Kind, f.On = Fail, zone()
+	case 10:
+		f.Kind, f.On, f.Factor = Slow, zone(), 2+8*rng.Float64()
+	case 11:
+		f.Kind, f.On = Kill, zone()
 	}
-	return &s
+	return f
 }
 
 // Scale changes the size of a schedule's fleet, where the figures are above 0. Ranges of
