--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -244,7 +244,8 @@
 	case x.Kind == Deed && begin:
 		f.wg.Go(func() {
 			var answer any
-			err := admin.Do(context.Background(), p.socket(), x.Name, json.RawMessage(x.With), &answer)
+			with := strings.ReplaceAll(x.With, "@SOCKET@", p.socket())
+			err := admin.Do(context.Background(), p.socket(), x.Name, json.RawMessage(with), &answer)
 			what := fmt.Sprintf("deed %s: done", x.Name)
 			if err != nil {
 				what = fmt.Sprintf("deed %s: %v", x.Name, err)
