Who has started anew and said nothing holds what a start holds, in the fleet's tests

Twenty runs of the fleet's tests on two cores each: TestRestartsInEachStage failed once in its first five, 'sidecar 6 holds 1/4'. Cause, from its log: that was said before it was killed at 6.0 s; it served again at 6.5 s, when the fleet was back, and had nothing to say any more. The test read the last line of either process. Ruled out: a stage not taken over, for the others held that all may by then.

--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -155,12 +155,17 @@
 	}
 }
 
-// holds is what each sidecar holds of a zone at the end, by its log; those that never said
-// are not there.
+// holds is what each sidecar holds of a zone at the end, by its log; those that have said nothing
+// since they started last are not there: they hold that all may, as they do at a start.
 func (h *History) holds(zone string) map[Party]string {
-	all := make(map[Party]string)
+	all, started := make(map[Party]string), make(map[Party]time.Duration)
+	for _, e := range h.Events {
+		if e.Kind == Process && e.What == "started" {
+			started[e.Who] = max(e.At, started[e.Who])
+		}
+	}
 	for _, l := range h.stageLines() {
-		if l.zone == zone {
+		if l.zone == zone && l.at >= started[l.who] {
 			all[l.who] = l.to
 		}
 	}
