A zone that was as ill as the others is not left because another was asked first

Twenty runs of the fleet's tests on two cores: in TestNoFalseDeparture/all-zones one sidecar left zone b at 5.99 s, one second after all zones had come back together. Cause, reproduced in virtual time (4 of 60 runs with a common failure of 3 s): vote in evidence.go took another zone's first good answer for 'it is better elsewhere', by what was sent there since this one went bad, though nothing had been sent here since the other recovered; three such sidecars are enough. Ruled out: attempts counted late, for none was sent after 5 s.

Another zone that was as bad until lately speaks against one only by what was sent here after that.

--- a/internal/evacuation/cases_test.go
+++ b/internal/evacuation/cases_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// All zones fail alike and recover together. Which of them is asked first, and is well, says
+// nothing of the others, which have not been asked since: nobody leaves them.
+func TestRecoveryOfAll(t *testing.T) {
+	for _, k := range []evacuation.Kind{evacuation.Errored, evacuation.NoConn, evacuation.Broken} {
+		for seed := range uint64(20) {
+			f := newFleet(t, seed, 12)
+			f.Rate = func(n int) float64 { return map[bool]float64{true: 12, false: 0.6}[n < 8] }
+			f.Run(3 * sec)
+			f.fails["a"], f.fails["b"], f.fails["c"] = k, k, k
+			f.Run(f.Now + 3*sec)
+			clear(f.fails)
+			f.Run(f.Now + 5*sec)
+			for _, zone := range f.Zones {
+				for n, c := range f.Cars {
+					if rec, _ := c.Held(zone); rec.Gen > 0 {
+						t.Errorf("%v, seed %d: sidecar %d has left zone %s", k, seed, n, zone)
+						break
+					}
+				}
+			}
+		}
+	}
+}
+
 // One that lies says at each moment, to everybody, that a zone fails, and holds a record
 // far ahead of all others.
 func TestALiarEmptiesNoZone(t *testing.T) {
--- a/internal/evacuation/evidence.go
+++ b/internal/evacuation/evidence.go
@@ -170,6 +170,9 @@
 	case z.badSent < 0:
 		z.badSent = a.sent
 	}
+	if k != Good {
+		z.badLast = max(z.badLast, a.sent)
+	}
 	if z.rec.Stage >= First && a.sent >= z.since {
 		if k == Good {
 			z.stageGood++
@@ -243,14 +246,16 @@
 	case o.ratio < m.cfg.Fails || o.bad < min(2, len(z.servers)):
 		return Limping
 	}
+	z.ill = m.now
 	// It has to be better elsewhere, by what was sent there since it went bad here: where
 	// all is as bad there is a common cause, and where nothing is known of the others nobody
-	// can say that they would be better.
+	// can say that they would be better. Nor does it say anything that another one is well which
+	// was as bad, where nothing has been sent here since: it may be well here too.
 	better, worse := false, false
 	for _, x := range m.zones {
 		switch {
 		case x == z || x.rec.Stage == Out:
-		case x.goodSent >= z.badSent && x.goodSent >= 0:
+		case x.goodSent >= z.badSent && x.goodSent >= 0 && x.ill <= z.badLast:
 			better = true
 		case x.badSent >= 0:
 			worse = true
--- a/internal/evacuation/machine.go
+++ b/internal/evacuation/machine.go
@@ -69,8 +69,10 @@
 	// When the last attempt was sent that was answered well, and the first of those that
 	// were not since; below 0: none.
 	goodSent, badSent   time.Duration
-	stageGood, stageBad int  // of what was sent in a stage of return
-	tried               bool // this one has sent there in this stage
+	badLast             time.Duration // when the last that was not was sent; below 0: none
+	ill                 time.Duration // when so much was bad last that it fails, or fails like all; below 0: never
+	stageGood, stageBad int           // of what was sent in a stage of return
+	tried               bool          // this one has sent there in this stage
 
 	rec     Record
 	since   time.Duration // of rec
@@ -181,7 +183,7 @@
 	if len(m.zones) >= ZonesMost {
 		return nil
 	}
-	z := &zone{name: name, id: id, wanted: -1, doubted: -1, goodSent: -1, badSent: -1, since: m.now, suspect: -1, rumour: -1, others: -1, roomAt: m.now}
+	z := &zone{name: name, id: id, wanted: -1, doubted: -1, goodSent: -1, badSent: -1, badLast: -1, ill: -1, since: m.now, suspect: -1, rumour: -1, others: -1, roomAt: m.now}
 	m.byID[id] = z
 	m.zones = append(m.zones, z)
 	slices.SortFunc(m.zones, func(a, b *zone) int { return cmp.Compare(a.name, b.name) })
@@ -289,7 +291,7 @@
 	m.drop(func(*peer) bool { return true })
 	for _, z := range m.zones {
 		z.vote, z.suspect, z.rumour, z.wanted, z.doubted, z.since = None, -1, -1, -1, -1, now
-		z.goodSent, z.badSent, z.stageGood, z.stageBad = -1, -1, 0, 0
+		z.goodSent, z.badSent, z.badLast, z.ill, z.stageGood, z.stageBad = -1, -1, -1, -1, 0, 0
 		if z.alone {
 			z.trial = now
 		}
