A council of processes: one log on raft, on disk first, leases by a confirmed leader

A lease is granted once a majority has confirmed, after the request came, that this member leads. Founders must all have heard each other once, and write down that they were asked: one that finds an empty folder beside a council that has begun ends and says why; removed, it joins with another id. At SIGTERM the lead is handed over. Way not taken: raft's own leases for reads, which trust clocks by more than the drift that is stated.

--- /dev/null
+++ b/cmd/fawncouncil/main.go
@@ -0,0 +1,48 @@
+// Command fawncouncil is one member of a fleet's council: docs/design/agreement.md. It takes the
+// path of its configuration, serves until SIGTERM, and hands its lead over then. No sidecar needs
+// it to serve a call.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chalkrack/internal/council"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "fawncouncil:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	if len(os.Args) != 2 {
+		return fmt.Errorf("usage: fawncouncil CONFIG.toml")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	text, err := os.ReadFile(os.Args[1])
+	if err != nil {
+		return err
+	}
+	cfg, err := council.Read(text)
+	if err != nil {
+		return err
+	}
+	s, err := council.Open(cfg)
+	if err != nil {
+		return err
+	}
+	err = s.Run(ctx)
+	if closed := s.Close(); err == nil {
+		err = closed
+	}
+	return err
+}
