--- a/internal/council/client.go
+++ b/internal/council/client.go
@@ -113,7 +113,13 @@
 
 // Status is what the first member knows that answers.
 func (c *Client) Status(ctx context.Context) (s Status, err error) {
-	err = c.do(ctx, "/v1/status", time.Second, struct{}{}, &s)
+	err = c.do(ctx, "/v1/status", time.Second, reading{}, &s)
+	return s, err
+}
+
+// Sure is what the council knows: nothing that was agreed on before the call is missing.
+func (c *Client) Sure(ctx context.Context) (s Status, err error) {
+	err = c.do(ctx, "/v1/status", waitMost+time.Second, reading{Sure: true}, &s)
 	return s, err
 }
 
--- a/internal/council/serve.go
+++ b/internal/council/serve.go
@@ -370,11 +370,25 @@
 	return m.Status(), nil
 }
 
-func (s *Server) status(context.Context, []byte) (any, error) {
+// reading is how a status is asked for.
+type reading struct {
+	Sure bool `json:"sure"` // by whoever leads, and nothing that was agreed on before the call is missing
+}
+
+func (s *Server) status(ctx context.Context, body []byte) (any, error) {
 	m, err := s.here()
 	if err != nil {
 		return nil, err
 	}
+	var r reading
+	if err := strict(body, &r); err != nil {
+		return nil, err
+	}
+	if r.Sure {
+		if err := m.Confirm(ctx); err != nil {
+			return nil, err
+		}
+	}
 	return m.Status(), nil
 }
 
