--- a/cmd/fawnctl/main.go
+++ b/cmd/fawnctl/main.go
@@ -34,6 +34,8 @@
 	Operate  operateCmd   `cmd:"" help:"Ask a running sidecar for its figures, take servers out and back, drain it."`
 	Duty     dutyCmd      `cmd:"" help:"Who is alive and who watches what, where probing is shared."`
 	Zone     zoneCmd      `cmd:"" help:"Zones that the fleet has left, and orders to leave or return."`
+	Council  councilCmd   `cmd:"" help:"The processes that agree on the fleet's settings: who leads, who is a member."`
+	Settings settingsCmd  `cmd:"" help:"What is in force at a council, what is on its way, and proposals."`
 	Plan     fleetCmd     `cmd:"" help:"Work out what a fleet can carry, and where, or why it can't."`
 	Keygen   keygenCmd    `cmd:"" help:"Make a key that signs a plan's weights."`
 	Fleet    processesCmd `cmd:"" help:"Play faults against several sidecars at once, and check what they did."`
@@ -174,7 +176,7 @@
 			return 3
 		case errors.Is(err, errLimit):
 			return 2
-		case errors.Is(err, errAway):
+		case errors.Is(err, errAway), errors.Is(err, errNoCouncil):
 			fmt.Fprintln(s.err, "fawnctl:", err)
 			return 3
 		}
--- a/internal/council/config.go
+++ b/internal/council/config.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -53,6 +55,14 @@
 
 // Read is a configuration from its text. Errors name the field.
 func Read(text []byte) (Config, error) {
+	c, err := decode(text)
+	if err != nil {
+		return c, err
+	}
+	return c, c.Validate()
+}
+
+func decode(text []byte) (Config, error) {
 	c := Default()
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
@@ -63,7 +73,7 @@
 		}
 		return c, fmt.Errorf("council: %w", err)
 	}
-	return c, c.Validate()
+	return c, nil
 }
 
 // Times are what leases go by.
@@ -128,3 +138,33 @@
 	fmt.Fprintf(h, "%s\x00%s", fleet, name)
 	return max(1, h.Sum64())
 }
+
+// Reach is how operators find a council: any member's file will do, or one with the key and the
+// members alone.
+type Reach struct {
+	Key     string
+	Members map[string]string
+}
+
+// ReadReach is a Reach from a file's text. Errors name the field.
+func ReadReach(text []byte) (r Reach, err error) {
+	c, err := decode(text)
+	switch {
+	case err != nil:
+		return r, err
+	case len(c.Key) < keyLeast:
+		return r, fmt.Errorf("council.key: must have %d bytes at least", keyLeast)
+	case len(c.Members) == 0:
+		return r, errors.New("council.members: is missing: an address by each member's name")
+	}
+	return Reach{c.Key, c.Members}, nil
+}
+
+// Client calls the council of a Reach.
+func (r *Reach) Client() *Client {
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(r.Members)) {
+		all = append(all, r.Members[name])
+	}
+	return NewClient(r.Key, rand.IntN(len(all)), all...)
+}
