Members and sidecars have ways of their own to each other, which tests cut one way

The council's hard cases need a fault on each link alone: where another member is stands in each member's own file by name, before what the log says of it, and a caller that is sent on to the leader goes there by its own way. The links are those of the fleet of processes.

--- a/cmd/fawnctl/council.go
+++ b/cmd/fawnctl/council.go
@@ -146,7 +146,7 @@
 	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "member\taddress\tleads\tlog\tin force\tid")
 	for _, name := range sortedKeys(r.Members) {
-		one := council.NewClient(r.Key, 0, r.Members[name])
+		one := council.NewClient(r.Key, 0, map[string]string{name: r.Members[name]})
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		st, err := one.Status(ctx)
 		cancel()
--- a/internal/council/change.go
+++ b/internal/council/change.go
@@ -27,7 +27,7 @@
 		}
 		if !remove {
 			for _, x := range m.content.Members {
-				if x.Name == p.Name || x.Addr == p.Addr || p.Name == "" || p.Addr == "" {
+				if x.Name == p.Name || m.post.where(x) == p.Addr || p.Name == "" || p.Addr == "" {
 					return fmt.Errorf("%s at %s: the name or the address is another's or empty: %w", p.Name, p.Addr, ErrMember)
 				}
 			}
--- a/internal/council/client.go
+++ b/internal/council/client.go
@@ -1,11 +1,15 @@
 package council
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,20 +21,22 @@
 	key []byte
 	c   *http.Client
 
+	at    map[string]string // addresses by name
+	names []string
+
 	mu   sync.Mutex
-	all  []string // addresses
-	next int      // of those that is asked first
-	lead string   // who led last; empty: nobody known
+	next int    // of the names that is asked first
+	lead string // the address of who led last; empty: nobody known
 }
 
 // retryEach is the least time between two tries of a call.
 const retryEach = 50 * time.Millisecond
 
-// NewClient is one of members at these addresses, of which it asks the n-th first: clients are
-// spread over the members by it.
-func NewClient(key string, n int, addrs ...string) *Client {
+// NewClient is one of members at these addresses, by name, of which it asks the n-th first: clients
+// are spread over the members by it.
+func NewClient(key string, n int, at map[string]string) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
-	return &Client{key: []byte(key), c: &http.Client{Transport: t}, all: addrs, next: n}
+	return &Client{key: []byte(key), c: &http.Client{Transport: t}, at: at, names: slices.Sorted(maps.Keys(at)), next: n}
 }
 
 // Close ends its idle connections.
@@ -44,7 +50,7 @@
 		return c.lead
 	}
 	c.next++
-	return c.all[c.next%len(c.all)]
+	return c.at[c.names[c.next%len(c.names)]]
 }
 
 func (c *Client) led(addr string) {
@@ -82,7 +88,8 @@
 			}
 			return nil
 		case errors.As(err, &no) && no.Code == http.StatusMisdirectedRequest:
-			c.led(no.Leader)
+			name, addr, _ := strings.Cut(no.Leader, " ")
+			c.led(cmp.Or(c.at[name], addr)) // by the way that this client has to it
 			last = ErrNotLeader
 		case errors.As(err, &no) && no.Code != http.StatusServiceUnavailable:
 			return no
--- a/internal/council/config.go
+++ b/internal/council/config.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -162,9 +161,5 @@
 
 // Client calls the council of a Reach.
 func (r *Reach) Client() *Client {
-	var all []string
-	for _, name := range slices.Sorted(maps.Keys(r.Members)) {
-		all = append(all, r.Members[name])
-	}
-	return NewClient(r.Key, rand.IntN(len(all)), all...)
+	return NewClient(r.Key, rand.IntN(len(r.Members)), r.Members)
 }
--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -63,7 +63,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
-	c := NewClient(testKey, 0, s.Addr())
+	c := NewClient(testKey, 0, map[string]string{"a": s.Addr()})
 	return s, c, func() {
 		stop()
 		<-done
@@ -86,7 +86,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	other := NewClient("the key of another fleet", 0, s.Addr())
+	other := NewClient("the key of another fleet", 0, map[string]string{"a": s.Addr()})
 	defer other.Close()
 	few, stop := context.WithTimeout(ctx, 200*time.Millisecond)
 	defer stop()
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -523,7 +523,7 @@
 type Status struct {
 	Fleet   string                    `json:"fleet"`
 	Name    string                    `json:"name"`
-	Leader  string                    `json:"leader,omitempty"` // its address; empty: none is known
+	Leader  Peer                      `json:"leader"` // empty: none is known
 	Leads   bool                      `json:"leads"`
 	Index   uint64                    `json:"index"`
 	Members map[uint64]Peer           `json:"members"`
@@ -541,7 +541,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &m.content.State
-	return Status{Fleet: m.cfg.Fleet, Name: m.cfg.Name, Leader: m.content.Members[m.lead].Addr, Leads: m.leads, Index: m.index, Members: maps.Clone(m.content.Members),
+	members := maps.Clone(m.content.Members)
+	for id, x := range members {
+		x.Addr = m.post.where(x)
+		members[id] = x
+	}
+	return Status{Fleet: m.cfg.Fleet, Name: m.cfg.Name, Leader: members[m.lead], Leads: m.leads, Index: m.index, Members: members,
 		InForce: s.Force, Settled: s.Settled(), Next: s.Next, Waits: s.Waits(), Cars: maps.Clone(s.Cars), Endings: append([]agreed.Ending(nil), s.Endings...), Bound: m.cfg.Times().Bound()}
 }
 
--- a/internal/council/post.go
+++ b/internal/council/post.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/hmac"
 	"crypto/sha256"
@@ -34,6 +35,7 @@
 type post struct {
 	key  []byte
 	self sender               // set before there is a member
+	at   map[string]string    // addresses by name, of this member's own file: they go before others'
 	in   chan *raftpb.Message // from the others
 	lost chan uint64          // who could not be reached
 
@@ -56,8 +58,8 @@
 	Peer
 }
 
-func newPost(key string) *post {
-	return &post{key: []byte(key), in: make(chan *raftpb.Message, inMost), lost: make(chan uint64, inMost), peers: make(map[uint64]*mailbox)}
+func newPost(key string, at map[string]string) *post {
+	return &post{key: []byte(key), at: at, in: make(chan *raftpb.Message, inMost), lost: make(chan uint64, inMost), peers: make(map[uint64]*mailbox)}
 }
 
 // know takes who the members are now.
@@ -65,24 +67,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, box := range p.peers {
-		if x, ok := all[id]; !ok || x.Addr != box.addr {
+		if x, ok := all[id]; !ok || p.where(x) != "" && p.where(x) != box.addr {
 			box.end()
 			delete(p.peers, id)
 		}
 	}
 	for id, x := range all {
-		if id != self {
-			p.open(id, x.Addr)
+		if id != self && p.where(x) != "" {
+			p.open(id, p.where(x))
 		}
 	}
 }
 
+// where a member is, as far as this one knows without having heard from it.
+func (p *post) where(x Peer) string { return cmp.Or(p.at[x.Name], x.Addr) }
+
 // learn takes who has sent something, where this member knows nobody yet.
 func (p *post) learn(from sender) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.peers) < MembersMost && from.ID != 0 && from.ID != p.self.ID && from.Addr != "" {
-		p.open(from.ID, from.Addr)
+		p.open(from.ID, p.where(from.Peer))
 	}
 }
 
@@ -215,7 +220,7 @@
 type Refusal struct {
 	Code   int    // of HTTP
 	Text   string // why
-	Leader string // who leads, by what the member knows; empty: nobody that it knows of
+	Leader string // the name of who leads and its address, by what the member knows; empty: nobody that it knows of
 }
 
 func (r *Refusal) Error() string { return r.Text }
--- a/internal/council/process_test.go
+++ b/internal/council/process_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"chalkrack/internal/agreed"
+	"chalkrack/internal/fleet"
 )
 
 const testKey = "the key of this fleet"
@@ -67,6 +68,27 @@
 	t     *testing.T
 	procs []*proc
 	times agreed.Times
+	host  int
+	links map[[2]string]*fleet.Link // by who opens connections, and to whom
+}
+
+// link is the way from one party to a member, with faults of its own.
+func (g *group) link(from string, to *proc) *fleet.Link {
+	g.t.Helper()
+	l, err := fleet.NewLink(fmt.Sprintf("127.0.%d.%d", 20+os.Getpid()%200, g.host), fleet.Party(from), fleet.Party(to.name), to.addr, uint64(len(g.links)))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(l.Close)
+	g.links[[2]string{from, to.name}] = l
+	return l
+}
+
+// cut has nothing that one member says reach another, on connections of either, or has it come
+// again.
+func (g *group) cut(from, to *proc, is bool) {
+	g.links[[2]string{from.name, to.name}].SetCut(is, false)
+	g.links[[2]string{to.name, from.name}].SetCut(false, is)
 }
 
 // free is an address that nobody listens at now, at a host of its own so that no connection
@@ -95,16 +117,22 @@
 	hosts.n++
 	host := hosts.n
 	hosts.Unlock()
-	g := &group{t: t, times: agreed.Times{Lease: 2 * time.Second, Margin: 200 * time.Millisecond, Drift: 0.01, Call: time.Second}}
+	g := &group{t: t, host: host, links: make(map[[2]string]*fleet.Link), times: agreed.Times{Lease: 2 * time.Second, Margin: 200 * time.Millisecond, Drift: 0.01, Call: time.Second}}
 	dir := t.TempDir()
-	members := "[members]\n"
 	for n := range many {
 		p := &proc{name: fmt.Sprintf("m%d", n+1), addr: free(t, host)}
 		p.folder, p.config = filepath.Join(dir, p.name), filepath.Join(dir, p.name+".toml")
 		g.procs = append(g.procs, p)
-		members += fmt.Sprintf("%s = %q\n", p.name, p.addr)
 	}
-	for _, p := range g.procs {
+	for _, p := range g.procs { // each reaches each other by an address of its own
+		members := "[members]\n"
+		for _, q := range g.procs {
+			addr := q.addr
+			if q != p {
+				addr = g.link(p.name, q).Addr()
+			}
+			members += fmt.Sprintf("%s = %q\n", q.name, addr)
+		}
 		g.write(p, members)
 		g.start(p)
 	}
@@ -145,12 +173,15 @@
 	<-p.ended
 }
 
+// one asks one member alone.
+func one(p *proc) *Client { return NewClient(testKey, 0, map[string]string{p.name: p.addr}) }
+
 func (g *group) client(n int) *Client {
-	var all []string
+	all := make(map[string]string)
 	for _, p := range g.procs {
-		all = append(all, p.addr)
+		all[p.name] = p.addr
 	}
-	c := NewClient(testKey, n, all...)
+	c := NewClient(testKey, n, all)
 	g.t.Cleanup(c.Close)
 	return c
 }
@@ -164,7 +195,7 @@
 				continue
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-			c := NewClient(testKey, 0, p.addr)
+			c := one(p)
 			st, err := c.Status(ctx)
 			c.Close()
 			cancel()
@@ -210,7 +241,10 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			a, err := k.c.Renew(ctx, r, g.times.Lease/4)
+			k.mu.Lock()
+			c := k.c
+			k.mu.Unlock()
+			a, err := c.Renew(ctx, r, g.times.Lease/4)
 			if err != nil {
 				time.Sleep(10 * time.Millisecond)
 				continue
@@ -250,6 +284,13 @@
 	return k.car.Acts().Version
 }
 
+// reach has it call the council by other ways.
+func (k *car) reach(c *Client) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.c = c
+}
+
 func (k *car) hush(quiet bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -394,7 +435,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		for _, p := range g.procs {
-			c := NewClient(testKey, 0, p.addr)
+			c := one(p)
 			st, err := c.Status(ctx)
 			c.Close()
 			if p != old && err == nil && st.Leads {
@@ -408,7 +449,7 @@
 	}
 	until(t, "version 2", func() bool { return k.acts() == 2 })
 	old.cmd.Process.Signal(syscall.SIGCONT)
-	c := NewClient(testKey, 0, old.addr)
+	c := one(old)
 	defer c.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
@@ -487,10 +528,10 @@
 	if _, err := c.Change(ctx, id, Peer{lost.name, lost.addr}, false); err != nil {
 		t.Fatal(err)
 	}
-	one := NewClient(testKey, 0, lost.addr)
-	defer one.Close()
+	it := one(lost)
+	defer it.Close()
 	until(t, "it has learnt all", func() bool {
-		st, err := one.Status(ctx)
+		st, err := it.Status(ctx)
 		return err == nil && st.InForce.Version == 1 && len(st.Members) == 3
 	})
 }
--- a/internal/council/serve.go
+++ b/internal/council/serve.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"cmp"
 	"context"
 	"crypto/hmac"
 	"encoding/hex"
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, store: st, post: newPost(cfg.Key)}
+	s := &Server{cfg: cfg, store: st, post: newPost(cfg.Key, cfg.Members)}
 	id, _, err := st.identity()
 	if err == nil && id != nil && (id.Fleet != cfg.Fleet || id.Name != cfg.Name) {
 		err = fmt.Errorf("council: folder %s is of %q in fleet %q: %w", cfg.Folder, id.Name, id.Fleet, ErrOther)
@@ -64,7 +65,7 @@
 		s.ln, err = net.Listen("tcp", cfg.Listen)
 	}
 	if err == nil && id != nil {
-		s.post.self = sender{id.ID, Peer{cfg.Name, s.Addr()}}
+		s.post.self = s.sender(id.ID)
 		s.member, err = start(cfg, id.ID, st, s.post)
 	}
 	if err != nil {
@@ -92,6 +93,11 @@
 	return s, nil
 }
 
+// sender is this member as others are told of it: where its file says, or where it listens.
+func (s *Server) sender(id uint64) sender {
+	return sender{id, Peer{s.cfg.Name, cmp.Or(s.cfg.Members[s.cfg.Name], s.Addr())}}
+}
+
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
@@ -164,7 +170,7 @@
 	if err := s.store.found(id, snap); err != nil {
 		return nil, fmt.Errorf("council: %w", err)
 	}
-	s.post.self = sender{id.ID, Peer{s.cfg.Name, s.Addr()}}
+	s.post.self = s.sender(id.ID)
 	m, err := start(s.cfg, id.ID, s.store, s.post)
 	if err != nil {
 		return nil, err
@@ -226,9 +232,9 @@
 func (s *Server) first() (*raftpb.Snapshot, error) {
 	c := content{Fleet: s.cfg.Fleet, Members: make(map[uint64]Peer)}
 	conf := new(raftpb.ConfState)
-	for name, addr := range s.cfg.Members {
+	for name := range s.cfg.Members {
 		id := founderID(s.cfg.Fleet, name)
-		c.Members[id] = Peer{name, addr}
+		c.Members[id] = Peer{Name: name} // where it is says each member's file
 		conf.Voters = append(conf.Voters, id)
 	}
 	slices.Sort(conf.Voters)
@@ -286,7 +292,8 @@
 			case errors.Is(err, ErrNotLeader):
 				code = http.StatusMisdirectedRequest
 				if m := s.now(); m != nil {
-					w.Header().Set("Fawn-Leader", m.Status().Leader)
+					st := m.Status()
+					w.Header().Set("Fawn-Leader", st.Leader.Name+" "+st.Leader.Addr)
 				}
 			case errors.Is(err, ErrSlow), errors.Is(err, ErrEnding):
 				code = http.StatusServiceUnavailable
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -374,6 +374,17 @@
 	}
 }
 
+// SetCut cuts a direction of the link, or has it whole again: out is from the one who opens
+// connections.
+func (l *Link) SetCut(there, andBack bool) {
+	l.change(func(w *[2]way) { w[out].cut, w[back].cut = there, andBack })
+}
+
+// SetDelay has what comes back be late by so much.
+func (l *Link) SetDelay(andBack time.Duration) {
+	l.change(func(w *[2]way) { w[back].delay = andBack })
+}
+
 // shutQueue has new connections never come up: the kernel drops the first packet of one
 // where the queue of those that wait is full (listen(2), tcp(7)).
 func (l *Link) shutQueue(ln *net.TCPListener) {
