A member of the council writes once for all that waits

TestLogOnDisk failed once on a busy machine: 3,000 entries took longer than a lease, so sidecars were silent. Cause: each call's entry was written and synced alone, for run looked at raft after each one. What waits, calls and messages, is taken up first, 256 at the most, and synced at once. A member that ends waited a second for another to lead also where it is alone. The test's lease is an hour.

--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -16,6 +16,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 
 	"chalkrack/internal/agreed"
+	"chalkrack/internal/duration"
 )
 
 const good = "fleet = \"f\"\nname = \"a\"\nlisten = \"127.0.0.1:1\"\nfolder = \"x\"\nkey = \"sixteen bytes...\"\n"
@@ -56,6 +57,7 @@
 	cfg := Default()
 	cfg.Fleet, cfg.Name, cfg.Listen, cfg.Folder, cfg.Key = "f", "a", "127.0.0.1:0", folder, testKey
 	cfg.Members = map[string]string{"a": "127.0.0.1:1"}
+	cfg.Lease = duration.Duration(time.Hour) // no sidecar goes silent meanwhile
 	s, err := Open(cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/council/member.go
+++ b/internal/council/member.go
@@ -150,12 +150,11 @@
 		case do := <-m.work:
 			do()
 		case msg := <-m.post.in:
-			if err := m.node.Step(msg); err != nil && !errors.Is(err, raft.ErrProposalDropped) {
-				slog.Debug("council: a message is left out", "err", err)
-			}
+			m.step(msg)
 		case id := <-m.post.lost:
 			m.node.ReportUnreachable(id)
 		}
+		m.drain()
 		for m.node.HasReady() {
 			if err := m.ready(); err != nil {
 				slog.Error("council: this member ends", "err", err)
@@ -167,6 +166,29 @@
 	}
 }
 
+// batchWork is how much of what waits is taken up before the disk is written.
+const batchWork = 256
+
+// drain takes up what else waits: one write on the disk is for all of it.
+func (m *Member) drain() {
+	for range batchWork {
+		select {
+		case do := <-m.work:
+			do()
+		case msg := <-m.post.in:
+			m.step(msg)
+		default:
+			return
+		}
+	}
+}
+
+func (m *Member) step(msg *raftpb.Message) {
+	if err := m.node.Step(msg); err != nil && !errors.Is(err, raft.ErrProposalDropped) {
+		slog.Debug("council: a message is left out", "err", err)
+	}
+}
+
 // end tells all who wait.
 func (m *Member) end(err error) {
 	for _, all := range []map[uint64]chan error{m.entries, m.confirms} {
@@ -555,8 +577,10 @@
 	m.closing.Do(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), handOver)
 		defer cancel()
+		asked := make(chan bool, 1)
 		m.do(ctx, func() {
 			best, match := uint64(0), uint64(0)
+			defer func() { asked <- best != 0 }()
 			if m.holder == nil {
 				return
 			}
@@ -569,8 +593,13 @@
 				m.node.TransferLeader(best)
 			}
 		})
-		for ctx.Err() == nil && m.Status().Leads {
-			time.Sleep(time.Duration(m.cfg.Beat) / 4)
+		select {
+		case is := <-asked:
+			for is && ctx.Err() == nil && m.Status().Leads {
+				time.Sleep(time.Duration(m.cfg.Beat) / 4)
+			}
+		case <-ctx.Done():
+		case <-m.done:
 		}
 		close(m.stop)
 	})
