Histories of a council with links cut in one direction, too

The random schedules killed, stopped and started members; they now also have one member not hear another, one hear nobody, and nobody hear one. Mended; it passes with both.

--- a/internal/council/history_test.go
+++ b/internal/council/history_test.go
@@ -52,8 +52,8 @@
 	},
 }
 
-// play has three operators propose and look for some seconds, while members are killed, stopped
-// and started by a seed, and returns what they saw.
+// play has three operators propose and look for some seconds, while members are killed, stopped,
+// started and cut from one another by a seed, and returns what they saw.
 func playHistory(t *testing.T, seed uint64, length time.Duration) (all []porcupine.Operation) {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	g := convene(t, 3+2*int(seed%2))
@@ -111,7 +111,8 @@
 	for ctx.Err() == nil {
 		p := g.procs[rng.IntN(len(g.procs))]
 		pause := func(most int) { time.Sleep(time.Duration(50+rng.IntN(most)) * time.Millisecond) }
-		switch rng.IntN(4) {
+		q := g.others(p)[rng.IntN(len(g.procs)-1)]
+		switch rng.IntN(6) {
 		case 0:
 			g.kill(p)
 			pause(800)
@@ -132,6 +133,24 @@
 			p.cmd.Process.Signal(syscall.SIGTERM)
 			<-p.ended
 			g.start(p)
+		case 4: // one does not hear another
+			g.cut(p, q, true)
+			pause(1500)
+			g.cut(p, q, false)
+		case 5: // one hears nobody, or nobody hears it
+			deaf := rng.IntN(2) == 0
+			all := func(is bool) {
+				for _, q := range g.others(p) {
+					if deaf {
+						g.cut(q, p, is)
+					} else {
+						g.cut(p, q, is)
+					}
+				}
+			}
+			all(true)
+			pause(1500)
+			all(false)
 		}
 		pause(1500)
 	}
@@ -139,7 +158,7 @@
 	return all
 }
 
-// What operators see over random schedules of kills, stops and starts is what one register that
+// What operators see over random schedules of kills, stops, starts and cuts is what one register that
 // nobody can lose would have shown. FAWN_HISTORIES says how many schedules, FAWN_HISTORIES_FROM
 // which is the first; by hand 200.
 func TestHistories(t *testing.T) {
--- a/internal/council/process_test.go
+++ b/internal/council/process_test.go
@@ -70,6 +70,7 @@
 	times agreed.Times
 	host  int
 	links map[[2]string]*fleet.Link // by who opens connections, and to whom
+	ways  map[[2]string][2]bool     // which of their directions are cut
 }
 
 // link is the way from one party to a member, with faults of its own.
@@ -87,8 +88,12 @@
 // cut has nothing that one member says reach another, on connections of either, or has it come
 // again.
 func (g *group) cut(from, to *proc, is bool) {
-	g.links[[2]string{from.name, to.name}].SetCut(is, false)
-	g.links[[2]string{to.name, from.name}].SetCut(false, is)
+	there, back := [2]string{from.name, to.name}, [2]string{to.name, from.name}
+	a, b := g.ways[there], g.ways[back]
+	a[0], b[1] = is, is
+	g.ways[there], g.ways[back] = a, b
+	g.links[there].SetCut(a[0], a[1])
+	g.links[back].SetCut(b[0], b[1])
 }
 
 // free is an address that nobody listens at now, at a host of its own so that no connection
@@ -117,7 +122,7 @@
 	hosts.n++
 	host := hosts.n
 	hosts.Unlock()
-	g := &group{t: t, host: host, links: make(map[[2]string]*fleet.Link), times: agreed.Times{Lease: 2 * time.Second, Margin: 200 * time.Millisecond, Drift: 0.01, Call: time.Second}}
+	g := &group{t: t, host: host, links: make(map[[2]string]*fleet.Link), ways: make(map[[2]string][2]bool), times: agreed.Times{Lease: 2 * time.Second, Margin: 200 * time.Millisecond, Drift: 0.01, Call: time.Second}}
 	dir := t.TempDir()
 	for n := range many {
 		p := &proc{name: fmt.Sprintf("m%d", n+1), addr: free(t, host)}
