A council's member takes no fields it does not know, and its dead disk has a test

A call's JSON was said to be read strictly and was not: a field that a newer caller sends would have been left out and the rest agreed on; it is refused now, with the field's name. What a member does whose disk takes nothing was documented only: it ends, says why, and nothing is in force that is not on the disk. The test hangs until its time-out with the write's error left out.

--- a/internal/council/council_test.go
+++ b/internal/council/council_test.go
@@ -102,9 +102,10 @@
 	io.Copy(io.Discard, resp.Body)
 	resp.Body.Close()
 	for body, want := range map[string]string{
-		"{":                 "makes no sense",
-		`{"kind":"yes"}`:    "nothing that an operator does",
-		`{"kind":"forget"}`: "no such sidecar",
+		`{"kind":"withdraw","more":1}`: "unknown field",
+		"{":                            "makes no sense",
+		`{"kind":"yes"}`:               "nothing that an operator does",
+		`{"kind":"forget"}`:            "no such sidecar",
 		`{"kind":"propose","base":1,"doc":{"key":"k","who":"w","reason":"r","rules":{"what":1}}}`: `"what" is no key`,
 	} {
 		var no *Refusal
@@ -121,6 +122,31 @@
 	}
 }
 
+// A member whose disk takes nothing more ends and says why; who waits is told.
+func TestDiskThatTakesNothing(t *testing.T) {
+	s, c, end := alone(t, t.TempDir())
+	defer end()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := c.Enter(ctx, agreed.Entry{Kind: agreed.Propose, Doc: level("k1", 1)}); err != nil {
+		t.Fatal(err)
+	}
+	m := s.now()
+	if err := s.store.close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.Enter(ctx, agreed.Entry{Kind: agreed.Propose, Base: 1, Doc: level("k2", 1)}); err == nil {
+		t.Error("a version is agreed on that is not on the disk")
+	}
+	<-m.done
+	if err := m.Close(); err == nil || !strings.Contains(err.Error(), "can't be written") {
+		t.Errorf("it ended by %v", err)
+	}
+	if m.Status().InForce.Version != 1 {
+		t.Errorf("version %d is in force", m.Status().InForce.Version)
+	}
+}
+
 // The log is cut and read back: 5,000 entries leave a short one, and after a start the state is
 // the same. A folder that was spoilt, or is another's, is refused.
 func TestLogOnDisk(t *testing.T) {
--- a/internal/council/serve.go
+++ b/internal/council/serve.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"crypto/hmac"
@@ -305,9 +306,12 @@
 	}
 }
 
-// strict reads JSON of known fields only.
+// strict reads JSON of known fields only: what a newer caller asks beyond them must not be agreed
+// on without them.
 func strict(body []byte, v any) error {
-	if err := json.Unmarshal(body, v); err != nil {
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
 		return &Refusal{Code: http.StatusBadRequest, Text: "the call makes no sense: " + err.Error()}
 	}
 	return nil
