Heads of requests take memory from a budget and are parsed when complete

Cause, by the live heap of 100 such connections in one process: 478 KB each for one short field again and again, 1,027 KB for fields with names of their own; 83 % of it in textproto.readMIMEHeader, 15 % in the copy of the raw bytes (limitedConn.record, internal/front/request.go). Ruled out: connection buffers (0.4 MB of 47), goroutines. readHead handed the connection to http.ReadRequest at its first byte, so a head that never ends holds what the parser has made of it. Same cause on a related path: the parsed fields were held while the body arrived.

Change: internal/httphead reads a head as plain bytes until it is complete; what does not fit into the buffer of 4 KiB takes room from a budget of a sixteenth of the memory limit (internal/headpolicy), waits for it unread, and is refused with 503 at the end of its time. A head grows only while eight times its size stays free, so long heads leave room for shorter ones. Long heads are parsed one at a time, the fields are dropped before the body is read, and what is forwarded stays reserved until the call ends. Heads that can't be parsed are still found at their first bad line. Processes of an upgrade divide the budget.

Tests on the code before: TestStoppedHeadsStayWithinBudget "60 stopped heads hold 28704 KB, want 4928 KB at most" (61660 KB with names of their own), TestLongHeadsWithinMemoryLimit "162832 KB in use, 32 MB are allowed", "156732 KB in use, 64 MB are allowed" and two more.

--- a/internal/components/operating/handover.go
+++ b/internal/components/operating/handover.go
@@ -11,6 +11,7 @@
 	"chalkrack"
 	"chalkrack/internal/evacuation"
 	"chalkrack/internal/handover"
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/maintenance"
 	"chalkrack/internal/membership"
 )
@@ -174,6 +175,9 @@
 	debug.SetMemoryLimit(o.config.Limits.Memory / int64(parts))
 	o.config.Pool.SetMaxConns(o.config.Limits.Conns / parts)
 	o.srv.SetMaxBodyBytes(o.config.Limits.Bodies / int64(parts))
+	for _, budget := range o.config.Limits.Heads {
+		budget.Divide(parts)
+	}
 }
 
 // maxParts bounds the number of shares, and so how small a share gets.
@@ -181,9 +185,10 @@
 
 // Limits are the limits of the whole sidecar, which its processes share.
 type Limits struct {
-	Memory int64 // of the heap, in bytes
-	Conns  int   // to servers
-	Bodies int64 // of requests, in bytes
+	Memory int64              // of the heap, in bytes
+	Conns  int                // to servers
+	Bodies int64              // of requests, in bytes
+	Heads  []*httphead.Budget // for long heads
 }
 
 // closeFolder waits for watchProcesses and removes this process from the folder.
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -22,6 +22,7 @@
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
 	"chalkrack/internal/upstream"
@@ -33,8 +34,9 @@
 	term, hup <-chan os.Signal
 	closers   []func() // in starting order
 
-	store, longStore *body.Store // of request bodies; longStore is nil if store holds long bodies too
-	maxConnsPerSide  int         // limit for clients, and for servers
+	store, longStore *body.Store      // of request bodies; longStore is nil if store holds long bodies too
+	maxConnsPerSide  int              // limit for clients, and for servers
+	requestHeads     *httphead.Budget // for the long heads of requests
 	figures          *figures.Figures
 	pool             *upstream.Pool
 	watcher          *discovery.Watcher
@@ -107,6 +109,7 @@
 	// A call holds one connection on each side. With only a third for the servers' side, a busy
 	// sidecar of 256 descriptors evicted idle connections to 60 servers to open new ones.
 	s.maxConnsPerSide = conns / 2
+	s.requestHeads = httphead.NewBudget(maxHeadBytes(s.cfg))
 	return nil
 }
 
@@ -227,7 +230,7 @@
 	if s.ln, err = clientListener(c); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	s.srv = front.New(front.Config{MaxConns: s.maxConnsPerSide, MaxBodyBytes: maxShortBodyBytes(c), Bodies: frontBodies(c, s.store), LongBodies: frontLongBodies(c, s.longStore), SendConfigID: c.History != nil, Choose: s.routes.Chooser(), Figures: s.figures}, s.host)
+	s.srv = front.New(front.Config{MaxConns: s.maxConnsPerSide, MaxBodyBytes: maxShortBodyBytes(c), Heads: s.requestHeads, Bodies: frontBodies(c, s.store), LongBodies: frontLongBodies(c, s.longStore), SendConfigID: c.History != nil, Choose: s.routes.Chooser(), Figures: s.figures}, s.host)
 	s.operation.SetFront(s.srv)
 	return nil
 }
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -49,12 +49,12 @@
 // returns how many bytes it has reserved for it. If the budget is exceeded it reads and
 // discards the rest of the body, and reserved is -1. A status above 0 is to be answered; below
 // 0, the connection has failed.
-func (c *conn) readBody(r *http.Request) (body [][]byte, reserved int64, status int) {
-	if r.Body == http.NoBody {
+func (c *conn) readBody(in *incomingRequest) (body [][]byte, reserved int64, status int) {
+	if in.body == http.NoBody {
 		return nil, 0, 0
 	}
 	b := &c.srv.budget
-	reader := c.newMinRateReader(r.Body, minBodyRate, bodyTimeout)
+	reader := c.newMinRateReader(in.body, minBodyRate, bodyTimeout)
 	overBudget := false
 	discard := func() {
 		b.release(reserved)
@@ -63,8 +63,8 @@
 	var scratch []byte
 	size := int64(firstPieceBytes)
 	for total := int64(0); ; size = pieceBytes {
-		if r.ContentLength > 0 {
-			size = min(pieceBytes, r.ContentLength-total)
+		if in.length > 0 {
+			size = min(pieceBytes, in.length-total)
 		}
 		if !overBudget && !b.reserve(size) {
 			overBudget = true
@@ -85,7 +85,7 @@
 		switch {
 		case total > maxBodyBytes:
 			status = http.StatusRequestEntityTooLarge
-		case err == io.EOF, err == nil && total == r.ContentLength:
+		case err == io.EOF, err == nil && total == in.length:
 			if overBudget {
 				reserved = -1
 			}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chalkrack/internal/figures"
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/message"
 )
 
@@ -22,7 +23,8 @@
 	in  limitedConn
 
 	listener string
-	br       *bufio.Reader
+	source   httphead.Source // reads from in
+	br       *bufio.Reader   // reads from source
 	peeker   socketPeeker
 
 	// The state of the connection, guarded by the server's lock. A connection is fresh until
@@ -41,8 +43,9 @@
 	overflowed   bool // bytes after the current request were discarded, so the connection ends with the answer
 	answerBegun  bool // the answer has begun and says whether the connection goes on; from here on no bytes are discarded
 	stateSince   time.Time
-	answered     sync.Cond // signals that current has become nil
-	current      *Exchange // the request that waits for its answer
+	answered     sync.Cond             // signals that current has become nil
+	current      *Exchange             // the request that waits for its answer
+	headRoom     *httphead.Reservation // of the long head that is being read; nil: none
 
 	headStart  time.Time     // start of headTimeout; used by the goroutine of the connection only
 	bodyReader minRateReader // reads the current body; used by the goroutine of the connection only
@@ -150,7 +153,7 @@
 // arrive within headTimeout; otherwise clients that connect and send nothing would hold
 // descriptors indefinitely.
 func (c *conn) awaitRequest() bool {
-	c.in.remaining = maxHeadBytes
+	c.in.remaining = httphead.MaxBytes
 	first := c.headStart.IsZero()
 	if first {
 		c.headStart = time.Now()
@@ -261,6 +264,7 @@
 		s.freeID(c.current)
 		c.current.counter.CountEnd(figures.ClientLeft)
 	}
+	c.headRoom.Release()
 	c.busy = false
 	graceful := c.ending && !c.closed
 	if graceful {
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -14,6 +14,7 @@
 	"chalkrack/internal/body"
 	"chalkrack/internal/core"
 	"chalkrack/internal/figures"
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/message"
 )
 
@@ -28,10 +29,11 @@
 	counter       figures.Request
 	localAnswer   Choice // the answer of the sidecar itself, if its Status is not 0
 	reservedBytes int64
-	keptBody      *body.Body // nil: there is no body, or Request.Body holds it
-	isBehindTier  bool       // a balancer tier in front of this one has set the attempts mark
-	bodyUnread    bool       // the client is still sending the body; guarded by the server's lock
-	keepAlive     bool       // the connection may go on after the answer
+	headRoom      *httphead.Reservation // of a long head; nil: none
+	keptBody      *body.Body            // nil: there is no body, or Request.Body holds it
+	isBehindTier  bool                  // a balancer tier in front of this one has set the attempts mark
+	bodyUnread    bool                  // the client is still sending the body; guarded by the server's lock
+	keepAlive     bool                  // the connection may go on after the answer
 	isHTTP10      bool
 }
 
@@ -113,27 +115,36 @@
 	x.writeAnswer(status, field, nil, []byte(x.localAnswer.Body))
 }
 
-// composeRequest sets Request for a body that is in memory, nil for none.
-func (x *Exchange) composeRequest(r *http.Request, body [][]byte) {
-	size := int64(-1)
-	if body != nil || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		size = 0
+// setBody completes Request with a body that is in memory, nil for none.
+func (x *Exchange) setBody(body [][]byte) {
+	if body != nil || x.Request.Method != http.MethodGet && x.Request.Method != http.MethodHead {
+		size := int64(0)
 		for _, p := range body {
 			size += int64(len(p))
 		}
+		x.Request.Head = message.AppendLength(x.Request.Head, size)
 	}
-	x.composeHead(r, size)
 	x.Request.Body = body
 }
 
-// composeHead sets Request without its body, whose length is size bytes; -1: there is no body
-// or it is chunked.
-func (x *Exchange) composeHead(r *http.Request, size int64) {
+const (
+	// minHeadBytes is the initial capacity of a composed head, and enough for most.
+	minHeadBytes = 512
+	// lengthFieldBytes is the capacity that a composed head has left for its Content-Length field.
+	lengthFieldBytes = 64
+)
+
+// composeHead sets Request without its body and the field for its length. received is the length of
+// the head as it was received, in bytes.
+func (x *Exchange) composeHead(r *http.Request, received int) {
 	uri := r.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
 	}
-	b := message.AppendHead(make([]byte, 0, 512), r.Method, uri, r.Host, r.Header, size)
+	b := message.AppendHead(make([]byte, 0, max(minHeadBytes, received+lengthFieldBytes)), r.Method, uri, r.Host, r.Header, -1)
+	if cap(b) > connBufferBytes { // a long head: hold no more than it needs
+		b = append(make([]byte, 0, len(b)+lengthFieldBytes), b...)
+	}
 	x.Request = message.Request{Method: r.Method, Head: b}
 	x.Request.Client = x
 	x.Payload, x.Caller = &x.Request, x
@@ -308,8 +319,12 @@
 	}
 	x.conn.srv.budget.release(x.reservedBytes)
 	x.reservedBytes = 0
+	x.releaseHead()
 }
 
+// releaseHead releases the room of a long head. Calls after the first one do nothing.
+func (x *Exchange) releaseHead() { x.headRoom.Release() }
+
 // resetOnClose makes closing the connection send a reset, so that an incomplete answer is not
 // taken for a complete one.
 func resetOnClose(c *conn) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,11 +19,13 @@
 	"chalkrack/internal/core"
 	"chalkrack/internal/figures"
 	"chalkrack/internal/generation"
+	"chalkrack/internal/httphead"
 )
 
 const (
-	maxHeadBytes = 64 << 10
-	maxBodyBytes = 32 << 20
+	// connBufferBytes is the size of the read buffer of a connection.
+	connBufferBytes = 4 << 10
+	maxBodyBytes    = 32 << 20
 	// headTimeout bounds the time from the first byte of a head to its end; for the first
 	// head of a connection it counts from the accept. minRateReader sets the deadlines of
 	// bodies.
@@ -66,6 +68,9 @@
 type Config struct {
 	MaxConns     int   // limit of simultaneous client connections
 	MaxBodyBytes int64 // limit of the bytes of request bodies in memory at one time
+	// Heads bounds the memory of request heads that are longer than a connection's buffer, from
+	// their arrival until their calls end. If it is nil, the Server has a budget of its own.
+	Heads *httphead.Budget
 	// Choose routes a request by its head, the name of the listener that accepted its
 	// connection, and the address of its client. If it is nil, all requests go unchanged to
 	// the Server's Handler.
@@ -104,10 +109,16 @@
 	conns    map[*conn]struct{}
 	openIDs  map[string]*Exchange // requests that wait for their answer, by id
 	draining bool
+
+	// longHeads is held while a long head is parsed: the parser may take many times its bytes.
+	longHeads sync.Mutex
 }
 
 // New returns a Server that passes requests to h.
 func New(cfg Config, h Handler) *Server {
+	if cfg.Heads == nil {
+		cfg.Heads = httphead.NewBudget(0)
+	}
 	return &Server{cfg: cfg, handler: h, budget: byteBudget{remaining: cfg.MaxBodyBytes}, conns: make(map[*conn]struct{}), openIDs: make(map[string]*Exchange)}
 }
 
@@ -144,7 +155,8 @@
 // addConn starts to serve a new connection, or closes it if none can be evicted for it.
 func (s *Server) addConn(nc net.Conn, listener string) {
 	c := &conn{srv: s, nc: nc, listener: listener, in: limitedConn{Conn: nc}, fresh: true, stateSince: time.Now()}
-	c.br = bufio.NewReaderSize(&c.in, 4<<10)
+	c.source.R = &c.in
+	c.br = bufio.NewReaderSize(&c.source, connBufferBytes)
 	c.answered.L = &s.mu
 	c.peeker.attach(nc)
 	s.mu.Lock()
@@ -192,6 +204,7 @@
 	victim := cmp.Or(ending, idle, slow)
 	if victim != nil {
 		victim.closed = true
+		victim.headRoom.Cancel()
 		delete(s.conns, victim)
 	}
 	s.mu.Unlock()
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/message"
 )
 
@@ -43,7 +44,7 @@
 		{"a length beside an encoding", request("POST /a", idFields+field("Content-Length", "5")+field("Transfer-Encoding", "chunked")) + smuggledRequest, 400, "", true},
 		{"an encoding beside a length", request("POST /a", idFields+field("transfer-encoding", "chunked")+field("content-length", "5")) + smuggledRequest, 400, "", true},
 		{"an encoding of the old version", "POST /a HTTP/1.0\r\nConnection: keep-alive\r\n" + idFields + "Transfer-Encoding: chunked\r\n\r\n" + smuggledRequest, 400, "", true},
-		{"head too long", "GET /a HTTP/1.1\r\nX: " + strings.Repeat("x", maxHeadBytes), 431, "", true},
+		{"head too long", "GET /a HTTP/1.1\r\nX: " + strings.Repeat("x", httphead.MaxBytes), 431, "", true},
 		{"body too long", request("POST /a", idFields+field("Content-Length", fmt.Sprint(maxBodyBytes+1))), 413, "", true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -260,7 +261,7 @@
 	}
 	// 100 Continue has a deadline of its own: that of the answer before it may have passed.
 	d.deadline = time.Time{}
-	c.in, c.headStart = limitedConn{Conn: &readerConn{Reader: strings.NewReader(request("POST /a", idFields+field("Content-Length", "2")+field("Expect", "100-continue")) + "hi")}, remaining: maxHeadBytes}, time.Now()
+	c.in, c.headStart = limitedConn{Conn: &readerConn{Reader: strings.NewReader(request("POST /a", idFields+field("Content-Length", "2")+field("Expect", "100-continue")) + "hi")}, remaining: httphead.MaxBytes}, time.Now()
 	c.br = bufio.NewReader(&c.in)
 	s.handler = &fake{}
 	if x, _ := c.readRequest(false); x == nil || d.deadline.IsZero() {
--- a/internal/front/stored_body.go
+++ b/internal/front/stored_body.go
@@ -7,11 +7,11 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"chalkrack/internal/body"
 	"chalkrack/internal/core"
+	"chalkrack/internal/message"
 )
 
 // Bodies configures how request bodies are stored.
@@ -36,52 +36,47 @@
 // readStoredRequest continues readRequest after the head for a request whose body goes into the
 // store. A body that the store does not keep is still incomplete when it returns; forwardBody
 // transfers the rest. It returns the same values as readRequest.
-func (c *conn) readStoredRequest(r *http.Request, crowded bool) (*Exchange, int) {
+func (c *conn) readStoredRequest(in *incomingRequest, crowded bool) (*Exchange, int) {
 	store := c.srv.bodyStore()
-	x := &Exchange{conn: c, keepAlive: !r.Close}
+	x := in.exchange
 	x.Received = time.Now()
-	status := x.parseHead(r, c.srv.handler)
-	expectsContinue := r.ProtoAtLeast(1, 1) && strings.EqualFold(r.Header.Get("Expect"), "100-continue")
 	refused := false
 	switch {
-	case r.URL.Path == "/_health":
-		status = http.StatusOK
-		if !c.srv.handler.Ready() {
-			status = http.StatusServiceUnavailable
-		}
-	case status != 0:
-	case r.ContentLength > store.MaxBytes:
+	case in.status != 0:
+	case in.length > store.MaxBytes:
 		c.rejectWith(http.StatusRequestEntityTooLarge, store.proxyStatusField("http_request_error", "body too long"))
 		return nil, -1
-	case crowded && !c.srv.evictConn(0):
-		slog.Warn("request refused: connection limit reached", "crowded", crowded, "conns", c.srv.describeConns())
+	case !in.hasRoom, crowded && !c.srv.evictConn(0):
+		slog.Warn("request refused: connection or memory limit reached", "crowded", crowded, "head", in.hasRoom, "conns", c.srv.describeConns())
 		refused = true
 	}
-	if status != 0 || refused {
-		return nil, c.answerWithoutBody(x, r, status, expectsContinue)
+	if in.status != 0 || refused {
+		return nil, c.answerWithoutBody(in)
 	}
-	if r.Body == http.NoBody {
-		x.composeRequest(r, nil)
+	if in.body == http.NoBody {
+		x.setBody(nil)
 		c.nc.SetReadDeadline(time.Time{})
 		return x, 0
 	}
-	in := body.Incoming{Class: store.ClassIndex(x.Class), Tenant: store.TenantIndex(x.Tenant), Length: r.ContentLength, Body: c.newMinRateReader(r.Body, float64(store.MinRate), store.Timeout)}
-	in.KeptElsewhere = x.isBehindTier && x.Limits.MaxAttempts == 1
-	if expectsContinue {
-		in.Body = &continueReader{c: c, r: in.Body}
+	toStore := body.Incoming{Class: store.ClassIndex(x.Class), Tenant: store.TenantIndex(x.Tenant), Length: in.length, Body: c.newMinRateReader(in.body, float64(store.MinRate), store.Timeout)}
+	toStore.KeptElsewhere = x.isBehindTier && x.Limits.MaxAttempts == 1
+	if in.expectsContinue {
+		toStore.Body = &continueReader{c: c, r: toStore.Body}
 	}
-	in.Body = &maxLengthReader{r: in.Body, remaining: store.MaxBytes}
-	kept, err := store.Store.Receive(in)
+	toStore.Body = &maxLengthReader{r: toStore.Body, remaining: store.MaxBytes}
+	kept, err := store.Store.Receive(toStore)
 	if err != nil {
 		return nil, c.rejectBody(x, err)
 	}
 	x.keptBody = kept
 	x.Received = time.Now()
 	if pieces := kept.Pieces(); pieces != nil {
-		x.composeRequest(r, pieces)
+		x.setBody(pieces)
 		x.Request.OnRetry = kept.RecordRetry
 	} else {
-		x.composeHead(r, kept.Length())
+		if length := kept.Length(); length >= 0 {
+			x.Request.Head = message.AppendLength(x.Request.Head, length)
+		}
 		x.Request.Source, x.Request.Chunked = kept, kept.Length() < 0
 	}
 	if !kept.IsStreamed() {
@@ -99,13 +94,14 @@
 	return x, 0
 }
 
-// answerWithoutBody answers a request whose body is not stored, with status, or with a refusal
-// if status is 0. It reads and discards a short body, so that the connection can go on, and
+// answerWithoutBody answers a request whose body is not stored, with its status, or with a refusal
+// if that is 0. It reads and discards a short body, so that the connection can go on, and
 // ends the connection instead of reading a long one. It returns 0, or -1 if the connection
 // ends.
-func (c *conn) answerWithoutBody(x *Exchange, r *http.Request, status int, expectsContinue bool) int {
-	if r.Body != http.NoBody {
-		if expectsContinue || r.ContentLength < 0 || r.ContentLength > maxShortBodyBytes {
+func (c *conn) answerWithoutBody(in *incomingRequest) int {
+	x, status := in.exchange, in.status
+	if in.body != http.NoBody {
+		if in.expectsContinue || in.length < 0 || in.length > maxShortBodyBytes {
 			field := ""
 			if status == 0 {
 				status, field = http.StatusServiceUnavailable, retryAfterField(limitRetryAfter)
@@ -113,7 +109,7 @@
 			c.rejectWith(status, field)
 			return -1
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if _, err := io.Copy(io.Discard, in.body); err != nil {
 			return -1
 		}
 	}
--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -282,6 +282,14 @@
 	os.RemoveAll(d.dir)
 }
 
+// Pid returns the process id of a daemon that runs as a process, 0 before its first start.
+func (d *Daemon) Pid() int {
+	if d.cmd == nil || d.cmd.Process == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
 // PeakResidentBytes returns the peak resident memory of the daemon's process in bytes, 0 where it
 // cannot be read.
 func (d *Daemon) PeakResidentBytes() int64 {
