A long head waits for room for 1.5 s, so that a stop behind it still ends within 3 s

Cause: a head could wait for room until the end of its own 2.5 s, and a body has a further second after its head (firstBodyTimeout).

Change: headRoomTimeout, 1.5 s from the first byte of the head; then 503.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,9 @@
 	// head of a connection it counts from the accept. minRateReader sets the deadlines of
 	// bodies.
 	headTimeout = 2500 * time.Millisecond
+	// headRoomTimeout bounds, from the same moment as headTimeout, how long a long head waits for
+	// room. A client that then stops before its body is still closed within 3 s.
+	headRoomTimeout = 1500 * time.Millisecond
 	// A body that is longer than maxShortBodyBytes, or of unknown length, counts as long.
 	maxShortBodyBytes = 64 << 10
 	// A connection whose head is older than minEvictableHeadAge may be closed to make room
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -87,8 +87,8 @@
 	return nil, http.StatusBadRequest
 }
 
-// growHead reserves size bytes for a long head. It blocks until there is room, until the time for
-// the head is over or until the connection is evicted, and reports false in the last two cases.
+// growHead reserves size bytes for a long head. It blocks until there is room, until headRoomTimeout
+// is over or until the connection is evicted, and reports false in the last two cases.
 func (c *conn) growHead(size int64) bool {
 	s := c.srv
 	s.mu.Lock()
@@ -101,7 +101,7 @@
 	}
 	room := c.headRoom
 	s.mu.Unlock()
-	return room.Grow(size, c.headStart.Add(headTimeout))
+	return room.Grow(size, c.headStart.Add(headRoomTimeout))
 }
 
 var (
