Heads of servers' answers take memory from a budget, as those of requests do

Change: the reader of package httphead is used here too, with a budget of a sixteenth of the memory limit for all servers and pools together. A long head takes room for its bytes without a wait, and for its fields (200 bytes each) before it is parsed, until the answer has been passed on. Without room the attempt has failed and may have run, as with any head that can't be read. A connection with bytes behind a long answer is not reused, as before.

--- a/internal/components/operating/handover.go
+++ b/internal/components/operating/handover.go
@@ -188,7 +188,7 @@
 	Memory int64              // of the heap, in bytes
 	Conns  int                // to servers
 	Bodies int64              // of requests, in bytes
-	Heads  []*httphead.Budget // for long heads
+	Heads  []*httphead.Budget // for the long heads of requests and of answers
 }
 
 // closeFolder waits for watchProcesses and removes this process from the folder.
--- a/internal/components/pools/pools.go
+++ b/internal/components/pools/pools.go
@@ -19,6 +19,7 @@
 	"chalkrack/internal/features"
 	"chalkrack/internal/front"
 	"chalkrack/internal/generation"
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/pool"
 	"chalkrack/internal/queue"
@@ -51,7 +52,8 @@
 	Settings *settings.Settings // the platform's
 	Features *features.File
 	Seed     uint64
-	Trace    *slog.Logger // receives the traces of calls; may be nil
+	Trace    *slog.Logger     // receives the traces of calls; may be nil
+	Heads    *httphead.Budget // for the long heads of answers; nil: a budget for each pool
 }
 
 // Settings returns the platform's settings with the pool's own values applied.
@@ -80,6 +82,7 @@
 	s.startUnix = time.Duration(s.start.UnixNano())
 	s.conns = upstream.New(upstream.Config{
 		ConnIdleTimeout: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MaxConns: p.MaxConnections, StallTimeout: set.ShortestAim() / 2,
+		Heads: c.Heads,
 	})
 	var err error
 	s.host, err = core.New(core.Config{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,7 @@
 // maxBodyBytes returns the limit of memory for request bodies, in bytes.
 func maxBodyBytes(c *Config) int64 { return int64(c.MemoryMB) << 20 * 3 / 8 }
 
-// maxHeadBytes returns the limit of memory for the long heads of requests, in bytes.
+// maxHeadBytes returns the limit of memory for the long heads of requests, and of answers, in bytes.
 func maxHeadBytes(c *Config) int64 { return int64(c.MemoryMB) << 20 / 16 }
 
 // maxShortBodyBytes returns the part of maxBodyBytes for the bodies that the front holds itself.
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -1,10 +1,13 @@
 package daemon
 
-import "chalkrack/internal/components/pools"
+import (
+	"chalkrack/internal/components/pools"
+	"chalkrack/internal/httphead"
+)
 
 // newRouting returns the routing, or nil if the operators' file has no routes, pools or listeners.
-func newRouting(c *Config) (*pools.Routing, error) {
-	return pools.New(&pools.Config{Settings: c.Settings, Features: c.Features, Seed: c.Seed, Trace: traceLogger(c)})
+func newRouting(c *Config, answerHeads *httphead.Budget) (*pools.Routing, error) {
+	return pools.New(&pools.Config{Settings: c.Settings, Features: c.Features, Seed: c.Seed, Trace: traceLogger(c), Heads: answerHeads})
 }
 
 // maxPoolConns returns the maximum number of connections to servers of all pools together.
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -37,6 +37,7 @@
 	store, longStore *body.Store      // of request bodies; longStore is nil if store holds long bodies too
 	maxConnsPerSide  int              // limit for clients, and for servers
 	requestHeads     *httphead.Budget // for the long heads of requests
+	answerHeads      *httphead.Budget // for the long heads of answers
 	figures          *figures.Figures
 	pool             *upstream.Pool
 	watcher          *discovery.Watcher
@@ -109,7 +110,7 @@
 	// A call holds one connection on each side. With only a third for the servers' side, a busy
 	// sidecar of 256 descriptors evicted idle connections to 60 servers to open new ones.
 	s.maxConnsPerSide = conns / 2
-	s.requestHeads = httphead.NewBudget(maxHeadBytes(s.cfg))
+	s.requestHeads, s.answerHeads = httphead.NewBudget(maxHeadBytes(s.cfg)), httphead.NewBudget(maxHeadBytes(s.cfg))
 	return nil
 }
 
@@ -123,6 +124,7 @@
 		MaxConns:        s.maxConnsPerSide,
 		// Leaves half of the shortest aim for another attempt.
 		StallTimeout:     c.Settings.ShortestAim() / 2,
+		Heads:            s.answerHeads,
 		OnRequestWritten: s.figures.CountForwarded,
 	})
 	s.watcher = &discovery.Watcher{Addr: c.Discovery, Timing: discovery.AgentTiming}
@@ -214,7 +216,7 @@
 }
 
 func (s *sidecar) startRouting() (err error) {
-	if s.routes, err = newRouting(s.cfg); err != nil {
+	if s.routes, err = newRouting(s.cfg, s.answerHeads); err != nil {
 		return err
 	}
 	s.onClose(s.routes.Close)
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/message"
 )
 
@@ -22,7 +23,7 @@
 func (c *conn) read(p *Pool) {
 	defer p.discard(c)
 	for {
-		c.limited.remaining = maxHeadBytes
+		c.limited.remaining = httphead.MaxBytes
 		// Waits for input without consuming any before the owner is known: an attempt that
 		// acquires the connection at this moment must still see unsolicited bytes.
 		err := c.raw.Read(func(fd uintptr) bool { return !nothingToRead(fd) })
@@ -84,7 +85,7 @@
 }
 
 var (
-	errHeadTooLong   = errors.New("upstream: answer head is too long")
+	errMalformedHead = errors.New("upstream: malformed answer head")
 	errAnswerTooLong = errors.New("upstream: answer body is too long")
 )
 
@@ -115,7 +116,7 @@
 
 func (r *limitedConn) Read(p []byte) (int, error) {
 	if r.remaining <= 0 {
-		return 0, errHeadTooLong
+		return 0, httphead.ErrTooLong
 	}
 	if r.pauseTimeout > 0 {
 		r.hasDeadline = true
@@ -142,7 +143,8 @@
 	if beforeLastByte { // the answer is final, and the rest of the request is not sent
 		defer a.stopReading()
 	}
-	resp, err := c.readHead(a.Request.Method)
+	defer c.releaseHeadRoom()
+	resp, err := c.readHead(a.Request.Method, a.pool.cfg.Heads)
 	if err != nil {
 		slog.Warn("invalid answer from server", "server", a.Server, "err", err)
 		a.finish(chalkrack.Reset)
@@ -162,8 +164,8 @@
 		return a.stream(c, resp, answer, report)
 	}
 	// The connection is reused only if nothing of this answer is left on it.
-	reusable = !long && !resp.Close && c.reader.Buffered() == 0 && a.isWritten()
-	if c.reader.Buffered() > 0 && !long {
+	reusable = !long && !resp.Close && c.isDrained() && a.isWritten()
+	if !c.isDrained() && !long {
 		a.pool.recordUnsolicited(a.Server)
 	}
 	if good {
@@ -197,10 +199,10 @@
 // readHead reads the head of the final answer and skips interim ones. After an interim answer
 // the server may work for as long as before its first byte, so the stall timeout is suspended
 // until the next byte.
-func (c *conn) readHead(method string) (*http.Response, error) {
+func (c *conn) readHead(method string, budget *httphead.Budget) (*http.Response, error) {
 	stall := c.limited.pauseTimeout
 	for ; ; c.limited.pauseTimeout = stall {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := c.readOneHead(method, budget)
 		switch {
 		case err != nil:
 			return nil, err
@@ -211,7 +213,7 @@
 		case resp.StatusCode >= 200:
 			// The limit also covers answers without a length that never end. It is doubled
 			// because the framing of small chunks takes as many bytes as their content.
-			c.limited.remaining = 2*maxAnswerBytes + maxHeadBytes
+			c.limited.remaining = 2*maxAnswerBytes + httphead.MaxBytes
 			return resp, nil
 		}
 		c.limited.clearDeadline()
@@ -221,6 +223,42 @@
 	}
 }
 
+// fieldBytes is the memory that the parser may need for one field of a head, beside its bytes.
+const fieldBytes = 200
+
+// readOneHead reads the head of one answer, final or not. A long one holds room of budget until
+// releaseHeadRoom, for its bytes and then also for its fields; without room it is refused.
+func (c *conn) readOneHead(method string, budget *httphead.Budget) (*http.Response, error) {
+	reader := httphead.Reader{Buffer: c.reader, Source: &c.source, Kind: httphead.Answer}
+	head, err := reader.Read(func(size int64) bool {
+		if c.headRoom == nil {
+			c.headRoom = budget.Reserve()
+		}
+		return c.headRoom.TryGrow(size)
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer reader.Parsed()
+	if head.IsLong && !c.headRoom.TryGrow(int64(len(head.Bytes)+head.Lines()*fieldBytes)) {
+		return nil, httphead.ErrNoRoom
+	}
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err == nil && head.IsMalformed {
+		err = errMalformedHead
+	}
+	return resp, err
+}
+
+// releaseHeadRoom releases the room of the long head that was read last.
+func (c *conn) releaseHeadRoom() {
+	c.headRoom.Release()
+	c.headRoom = nil
+}
+
+// isDrained reports whether all bytes that were read have been used.
+func (c *conn) isDrained() bool { return c.reader.Buffered() == 0 && c.source.Pending() == 0 }
+
 const slowBodyDelay = 25 * time.Millisecond
 
 // readBuffered reads the part of a body that is buffered before the answer is passed on: a body
@@ -284,7 +322,7 @@
 		switch err {
 		case nil:
 		case io.EOF:
-			reusable := !resp.Close && c.reader.Buffered() == 0 && a.isWritten()
+			reusable := !resp.Close && c.isDrained() && a.isWritten()
 			a.Sink.Done(chalkrack.OK, nil, report)
 			return reusable
 		default:
--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/httphead"
 )
 
 // A server may send interim answers early and then work for longer than the stall timeout.
@@ -75,7 +76,7 @@
 	p.AddServer("s", addr, 0)
 	s := newSink()
 	p.Start(newGetAttempt(s))
-	if r := s.wait(t); r.outcome != chalkrack.Reset || s.streamed.Len() > maxAnswerBytes+maxHeadBytes {
+	if r := s.wait(t); r.outcome != chalkrack.Reset || s.streamed.Len() > maxAnswerBytes+httphead.MaxBytes {
 		t.Errorf("outcome %d, %d streamed", r.outcome, s.streamed.Len())
 	}
 }
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -19,8 +19,7 @@
 const (
 	// MaxBuffered is the size in bytes of the longest answer that is read completely before it
 	// is passed on. If the server breaks off such an answer, another attempt can still be made.
-	MaxBuffered  = 64 << 10
-	maxHeadBytes = 64 << 10 // of a server's answer
+	MaxBuffered = 64 << 10
 	// maxAnswerBytes is the longest body that is accepted from a server.
 	maxAnswerBytes = 32 << 20
 	// maxInlineSendBytes fits the empty send buffer of any connection, so that writing it does
@@ -206,7 +205,8 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, raw: raw, server: a.target, addr: addr, owner: a, limited: limitedConn{Conn: nc}}
-	c.reader = bufio.NewReaderSize(&c.limited, 4<<10)
+	c.source.R = &c.limited
+	c.reader = bufio.NewReaderSize(&c.source, connBufferBytes)
 	c.checkQuiet = func(fd uintptr) { c.quiet = nothingToRead(fd) }
 	return c, nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"chalkrack/internal/httphead"
 )
 
 // Config configures a Pool.
@@ -25,6 +27,9 @@
 	// PassClientErrors treats a 4xx answer (other than 408 and 429) as the server's answer to
 	// the request and not as a failed attempt.
 	PassClientErrors bool
+	// Heads bounds the memory of the heads of answers that are longer than a connection's buffer. If
+	// it is nil, the Pool has a budget of its own.
+	Heads *httphead.Budget
 	// OnRequestWritten is called for each attempt after its last byte is written; it may be nil.
 	OnRequestWritten func()
 }
@@ -50,6 +55,8 @@
 }
 
 const (
+	// connBufferBytes is the size of the read buffer of a connection.
+	connBufferBytes = 4 << 10
 	// A reused connection that breaks this soon after a request was probably closed by the
 	// server before the request arrived.
 	defaultEarlyBreakWindow = 20 * time.Millisecond
@@ -80,7 +87,9 @@
 	net.Conn
 	raw        syscall.RawConn
 	limited    limitedConn
-	reader     *bufio.Reader
+	source     httphead.Source       // reads from limited
+	reader     *bufio.Reader         // reads from source
+	headRoom   *httphead.Reservation // of a long head of an answer; nil: none; used by the reader
 	server     *server
 	addr       string
 	idleSince  time.Time // when it last became idle
@@ -93,6 +102,9 @@
 
 // New returns a Pool without servers or connections.
 func New(cfg Config) *Pool {
+	if cfg.Heads == nil {
+		cfg.Heads = httphead.NewBudget(0)
+	}
 	p := &Pool{cfg: cfg, servers: make(map[string]*server), earlyBreakWindow: defaultEarlyBreakWindow, stallTimeout: defaultStallTimeout, streamStallTimeout: defaultStreamStallTimeout, holdBackDelay: defaultHoldBackDelay, sendTimeout: defaultSendTimeout}
 	p.idleTimeout = p.maxIdleTimeout()
 	if cfg.StreamStallTimeout > 0 {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/httphead"
 	"chalkrack/internal/message"
 )
 
@@ -142,7 +143,7 @@
 		{"no HTTP", "cut here\r\n\r\n", chalkrack.Reset, "", 0},
 		{"short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", chalkrack.Reset, "", 0},
 		{"short of its last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n", chalkrack.Reset, "", 0},
-		{"head without end", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("cut", maxHeadBytes), chalkrack.Reset, "", 0},
+		{"head without end", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("cut", httphead.MaxBytes), chalkrack.Reset, "", 0},
 		{"stops in its head", "HTTP/1.1 200 OK\r\nContent-", chalkrack.Reset, "", 0},
 		{"stops in its body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nstop", chalkrack.Reset, "", 0},
 		{"long and stops", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long)+9, long), chalkrack.Reset, "", len(long)},
