Bodies of a class that a new configuration added are received, and block no others

After a new configuration had added a class, its first long body closed the connection without an answer, and from then on 90 of 90 requests of each kind with a body over 64 KiB or in chunks had none, of any class, until a restart.

Cause, by the stack in the sidecar's log: account.unusedFirm (internal/bodypolicy/account.go) indexes its accounts with the class, which is -1 for a class that the store's configuration of the start does not have ("index out of range [-1]"); receivePiece (internal/body/body.go) had locked the store without a deferred unlock, and conn.serve recovers the panic, so the lock was held for good. Ruled out: the decision module (short bodies of the class are served) and discovery.

Change: the Keeper has one more account, without a share, for all classes outside its table, and the bookings of bodies that are received hold the lock with a deferred unlock. The log line of a lost piece no longer indexes by such a class.

--- a/internal/body/body.go
+++ b/internal/body/body.go
@@ -92,18 +92,31 @@
 	return all
 }
 
+// register makes the body known to the Keeper.
+func (b *Body) register() {
+	s := b.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	in := &b.incoming
+	b.record = s.keeper.Begin(in.Class, in.Tenant, in.Length, in.KeptElsewhere, s.canCreateFile())
+	b.record.Owner = b
+}
+
+// book books size more bytes and returns where they go.
+func (b *Body) book(size int64) bodypolicy.Place {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	return b.store.book(b, size)
+}
+
 // receivePiece reads the next piece, or determines that the body is not kept.
 func (b *Body) receivePiece() error {
-	s := b.store
 	size := b.pieceSize()
 	if size == 0 {
 		b.markComplete()
 		return nil
 	}
-	s.mu.Lock()
-	place := s.book(b, size)
-	s.mu.Unlock()
-	switch place {
+	switch b.book(size) {
 	case bodypolicy.Refused:
 		return ErrNoRoom
 	case bodypolicy.NotKept:
@@ -151,10 +164,7 @@
 // moveElsewhere requests another place for n bytes whose file cannot be written. The body may
 // become one that is not kept.
 func (b *Body) moveElsewhere(n int64) error {
-	b.store.mu.Lock()
-	place := b.store.keeper.RecordFileFailure(b.record, n, false)
-	b.store.mu.Unlock()
-	switch place {
+	switch b.recordFileFailure(n) {
 	case bodypolicy.Refused:
 		return ErrNoRoom
 	case bodypolicy.NotKept:
@@ -163,6 +173,14 @@
 	return nil
 }
 
+// recordFileFailure records that n booked bytes cannot be written to the file, and returns where they
+// go instead.
+func (b *Body) recordFileFailure(n int64) bodypolicy.Place {
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	return b.store.keeper.RecordFileFailure(b.record, n, false)
+}
+
 // releaseUnreceived releases n booked bytes that were not received.
 func (b *Body) releaseUnreceived(n int64) {
 	b.store.mu.Lock()
@@ -309,20 +327,12 @@
 // blocks until the body is complete or dropped, and returns nil then. After any other error of
 // the read, the caller must end the call and then abort the body.
 func (b *Body) Forward() error {
-	s := b.store
 	for {
-		s.mu.Lock()
-		for b.unsentBytes >= s.cfg.Window && !b.isDropped {
-			b.changed.Wait()
-		}
-		if b.isDropped || b.isComplete {
-			s.mu.Unlock()
+		size, more := b.bookForwarded()
+		if !more {
 			return nil
 		}
-		size := b.pieceSize()
-		s.book(b, size)
-		s.mu.Unlock()
-		more, err := true, error(nil)
+		var err error
 		if size == 0 {
 			b.markComplete()
 			more = false
@@ -338,6 +348,23 @@
 	}
 }
 
+// bookForwarded waits until the server has read enough of a body that is not kept, and books its next
+// piece. more is false if the body is complete or dropped.
+func (b *Body) bookForwarded() (size int64, more bool) {
+	s := b.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for b.unsentBytes >= s.cfg.Window && !b.isDropped {
+		b.changed.Wait()
+	}
+	if b.isDropped || b.isComplete {
+		return 0, false
+	}
+	size = b.pieceSize()
+	s.book(b, size)
+	return size, true
+}
+
 // Abort aborts the body: a reading gets ErrBroken after the bytes received so far. It must be
 // called after the end of the call, so that the error is not attributed to the attempt.
 func (b *Body) Abort() {
--- a/internal/body/reading.go
+++ b/internal/body/reading.go
@@ -59,7 +59,7 @@
 	s.recordFileCall(err, time.Since(began), false)
 	s.mu.Unlock()
 	if err != nil || len(p) != seg.size {
-		s.cfg.Log.Warn("kept body cannot be read", "class", s.cfg.Classes[r.body.class], "piece", seg.piece, "err", err)
+		s.cfg.Log.Warn("kept body cannot be read", "class", s.className(r.body.class), "piece", seg.piece, "err", err)
 		return nil, ErrLost
 	}
 	r.offset = r.file.Next(seg.piece, r.offset)
--- a/internal/body/store.go
+++ b/internal/body/store.go
@@ -37,7 +37,7 @@
 	Limits  bodypolicy.Limits // Shares must have one element per class
 	Disk    bodypolicy.DiskLimits
 	Spool   *spool.Spool // nil: no files are used; closed by Store.Close
-	Classes []string     // names of the classes
+	Classes []string     // names of the classes; others may follow, see Incoming
 	Window  int64        // maximum bytes of a body that is not kept waiting for its server
 	Log     *slog.Logger // nil: slog.Default
 }
@@ -134,6 +134,14 @@
 	}
 }
 
+// className returns the name of a class for log lines.
+func (s *Store) className(class int) string {
+	if class < 0 || class >= len(s.cfg.Classes) {
+		return "added later"
+	}
+	return s.cfg.Classes[class]
+}
+
 // book books n more bytes of a body. The lock must be held.
 func (s *Store) book(b *Body, n int64) bodypolicy.Place {
 	p := s.keeper.Put(b.record, n, s.canCreateFile())
@@ -227,7 +235,10 @@
 
 // Incoming is a body to be received from a listener.
 type Incoming struct {
-	Class, Tenant int
+	// Class is an index of Config.Classes. Any other value stands for the classes that a later
+	// configuration has added; they have no share of their own.
+	Class         int
+	Tenant        int   // -1: none, or one that a later configuration has added
 	Length        int64 // announced length; -1: none
 	KeptElsewhere bool  // the previous tier keeps it
 	Body          io.Reader
@@ -239,10 +250,7 @@
 func (s *Store) Receive(in Incoming) (*Body, error) {
 	b := &Body{store: s, class: in.Class, length: in.Length, incoming: in}
 	b.changed.L = &s.mu
-	s.mu.Lock()
-	b.record = s.keeper.Begin(in.Class, in.Tenant, in.Length, in.KeptElsewhere, s.canCreateFile())
-	s.mu.Unlock()
-	b.record.Owner = b
+	b.register()
 	for {
 		if err := b.receivePiece(); err != nil {
 			b.Drop()
--- a/internal/bodypolicy/keeper.go
+++ b/internal/bodypolicy/keeper.go
@@ -1,5 +1,7 @@
 package bodypolicy
 
+import "slices"
+
 // Place is where a body is kept. A body only moves to higher places.
 type Place uint8
 
@@ -59,7 +61,7 @@
 // Keeper decides where the bodies of one process are kept, within Limits. It is not safe for
 // concurrent use.
 type Keeper struct {
-	limits      Limits
+	limits      Limits // Shares has one more element than that of New, for classes that New did not know
 	mem         account
 	disk        account
 	files       account
@@ -69,11 +71,13 @@
 	movingBytes int64   // bytes in memory of bodies that are moving to files
 }
 
-// New returns a Keeper, or an error that names the invalid limit.
+// New returns a Keeper, or an error that names the invalid limit. Bodies of classes outside Shares,
+// which a later configuration has added, have a common account without a share.
 func New(l Limits) (*Keeper, error) {
 	if err := l.Validate(); err != nil {
 		return nil, err
 	}
+	l.Shares = append(slices.Clone(l.Shares), 0)
 	return &Keeper{
 		limits:  l,
 		mem:     newAccount(l.Memory, &l),
@@ -88,7 +92,7 @@
 // keptElsewhere states that the previous tier keeps the body, so that only a short one is kept
 // here. canCreate states whether files may be created now. Begin books nothing.
 func (k *Keeper) Begin(class, tenant int, announced int64, keptElsewhere, canCreate bool) *Body {
-	b := &Body{class: class, tenant: tenant, movableIndex: -1, keptElsewhere: keptElsewhere}
+	b := &Body{class: k.account(class), tenant: tenant, movableIndex: -1, keptElsewhere: keptElsewhere}
 	switch {
 	case keptElsewhere && announced > k.limits.MoveLeast:
 		b.place = NotKept
@@ -100,6 +104,15 @@
 	return b
 }
 
+// account returns the index of the account of a class. Classes outside the shares of New have the
+// last one in common.
+func (k *Keeper) account(class int) int {
+	if last := len(k.limits.Shares) - 1; class < 0 || class > last {
+		return last
+	}
+	return class
+}
+
 // canCreateFile reports whether files are configured and may be created now.
 func (k *Keeper) canCreateFile(canCreate bool) bool { return canCreate && k.limits.Disk > 0 }
 
@@ -367,8 +380,10 @@
 	}
 }
 
-// Count returns the totals of the bodies of a class.
+// Count returns the totals of the bodies of a class; those of all classes outside the shares of New
+// are counted together.
 func (k *Keeper) Count(class int) Count {
+	class = k.account(class)
 	c := k.counts[class]
 	c.Bytes, c.DiskBytes = k.mem.used[class], k.disk.used[class]
 	return c
--- a/internal/bodypolicy/keeper_test.go
+++ b/internal/bodypolicy/keeper_test.go
@@ -28,6 +28,15 @@
 	broken             bool
 }
 
+// account returns the account that holds the record's class: its own, or the last one, which classes
+// outside the shares of testLimits have in common.
+func (l *record) account() int {
+	if l.class < 0 || l.class > 2 {
+		return 3
+	}
+	return l.class
+}
+
 // model runs random operations on bodies of a Keeper, and tracks independently what each body
 // holds. It is a rapid.StateMachine.
 type model struct {
@@ -51,7 +60,7 @@
 }
 
 func (m *model) Begin(t *rapid.T) {
-	l := &record{class: rapid.IntRange(0, 2).Draw(t, "class"), tenant: rapid.IntRange(-1, 3).Draw(t, "tenant")}
+	l := &record{class: rapid.IntRange(-1, 4).Draw(t, "class"), tenant: rapid.IntRange(-1, 3).Draw(t, "tenant")}
 	announced := rapid.OneOf(rapid.Just(int64(-1)), rapid.Int64Range(1, 1000)).Draw(t, "announced")
 	l.body = m.keeper.Begin(l.class, l.tenant, announced, rapid.IntRange(0, 4).Draw(t, "once") == 0, m.canCreate)
 	l.place = l.body.Place()
@@ -84,10 +93,10 @@
 func (m *model) Put(t *rapid.T) {
 	l := m.pick(t, func(l *record) bool { return !l.dropped && !l.whole && l.place != Refused })
 	n := rapid.Int64Range(1, 120).Draw(t, "n")
-	firm, own := m.keeper.mem.unusedFirm(l.class) >= n, l.place == Memory && l.body.size+n <= m.limits.MemoryMost && !(l.body.keptElsewhere && l.body.size+n > m.limits.MoveLeast)
+	firm, own := m.keeper.mem.unusedFirm(l.account()) >= n, l.place == Memory && l.body.size+n <= m.limits.MemoryMost && !(l.body.keptElsewhere && l.body.size+n > m.limits.MoveLeast)
 	p := m.keeper.Put(l.body, n, m.canCreate)
 	if firm && own && m.limits.Tenants == 0 && p != Memory {
-		t.Fatalf("class %d has %d of its firm part free, but %d bytes went to %v", l.class, m.keeper.mem.unusedFirm(l.class), n, p)
+		t.Fatalf("class %d has %d of its firm part free, but %d bytes went to %v", l.class, m.keeper.mem.unusedFirm(l.account()), n, p)
 	}
 	m.recordPlace(t, l, p, n, 0)
 }
@@ -186,10 +195,10 @@
 // Check compares the bookings of the Keeper with what the model holds.
 func (m *model) Check(t *rapid.T) {
 	var mem, disk, files, streams int64
-	byClass := make([]int64, 3)
+	byClass := make([]int64, 4)
 	for _, l := range m.bodies {
 		mem, disk = mem+l.mem, disk+l.disk
-		byClass[l.class] += l.mem
+		byClass[l.account()] += l.mem
 		if l.hasFile {
 			files++
 		}
