The operators' counters take up the classes that a new configuration adds

Read in internal/figures/figures.go, where the index of a class is looked up in the names of the start; nothing else of a request goes wrong.

Change: Figures holds its classes in a table that is replaced as a whole, AddClasses adds to it, and a trial calls it before it begins. Counters of classes that are counted already go on; none is removed by an undo, as operators compare them over time.

Test without the call in switchToTrial: TestTrialCountsAddedClasses "1 requests of two classes are outstanding, want 2". With it both tests pass, 20 runs under the race detector.

--- a/internal/components/changes/changes.go
+++ b/internal/components/changes/changes.go
@@ -227,6 +227,7 @@
 func (g *Manager) switchToTrial(next *config.Config, id history.ID, ln net.Listener) error {
 	f := &g.current.Features.Config
 	g.trialCount++
+	g.figures.AddClasses(next.Settings.ClassNames())
 	began := time.Now()
 	err := g.host.StartTrial(next.Generation(id), configtrial.Config{
 		Share: f.TrialShare, FalseUndo: f.FalseUndoProbability, DetectableShare: f.DetectableShare, Duration: time.Duration(f.TrialDuration), ThinUndo: f.OnFewCalls == "undo",
--- a/internal/components/changes/changes_test.go
+++ b/internal/components/changes/changes_test.go
@@ -14,6 +14,7 @@
 	"chalkrack/internal/config/configtest"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
+	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
 	"chalkrack/internal/history"
 	"chalkrack/internal/upstream"
@@ -91,6 +92,24 @@
 	}
 }
 
+// Requests of a class that a change adds are counted from the beginning of its trial.
+func TestTrialCountsAddedClasses(t *testing.T) {
+	p := configtest.New(t)
+	p.Write(t, 5, "[config]\nenabled = true\n")
+	g := newTestChanges(t, p.Load(t))
+	g.figures = figures.New(g.current.Settings.ClassNames())
+	next := g.withReplacement(t, `"classes":[`, `"classes":[{"name":"sim-swap","effect":"once","promiseUs":1000000,"hardLimitUs":3000000},`)
+	if _, err := g.propose(next, "", false); err != nil {
+		t.Fatal(err)
+	}
+	for _, class := range []string{"sim-swap", "activate"} {
+		g.figures.CountRequest(new(figures.Request), class)
+	}
+	if n := g.figures.Outstanding(); n != 2 {
+		t.Errorf("%d requests of two classes are outstanding, want 2", n)
+	}
+}
+
 // The rollback of a trial that was on at the start of the process follows the rules of any
 // change: one that needs a restart is refused completely and the trial goes on; any other
 // is made at once.
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -5,6 +5,8 @@
 package figures
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,34 +23,66 @@
 	endCount
 )
 
+// classCounts holds the counters of a class, by how its requests ended.
+type classCounts struct {
+	name   string
+	counts [endCount]atomic.Int64
+}
+
+// classTable holds the classes that are counted. It is replaced as a whole and never modified, and
+// shares the counters with the table before it.
+type classTable struct {
+	inOrder []*classCounts
+	byName  map[string]*classCounts
+}
+
 // Figures holds the counters of one process, a few for each class.
 type Figures struct {
-	classes    []string
-	classIndex map[string]int
-	counts     [][endCount]atomic.Int64
-	accepted   atomic.Int64
-	ended      atomic.Int64
-	forwarded  atomic.Int64
+	adding    sync.Mutex // held while classes are replaced
+	classes   atomic.Pointer[classTable]
+	accepted  atomic.Int64
+	ended     atomic.Int64
+	forwarded atomic.Int64
 	// Configurations that were read at a SIGHUP and applied or rejected.
 	reloadsApplied, reloadsRejected atomic.Int64
 }
 
 // New returns Figures for the classes of these names.
 func New(classes []string) *Figures {
-	f := &Figures{classes: classes, classIndex: make(map[string]int, len(classes)), counts: make([][endCount]atomic.Int64, len(classes))}
-	for n, name := range classes {
-		f.classIndex[name] = n
-	}
+	f := new(Figures)
+	f.classes.Store(new(classTable))
+	f.AddClasses(classes)
 	return f
 }
 
+// AddClasses begins to count the requests of classes that a new configuration has. Those that are
+// counted already keep their counters, and none is removed. A nil Figures does nothing.
+func (f *Figures) AddClasses(names []string) {
+	if f == nil {
+		return
+	}
+	f.adding.Lock()
+	defer f.adding.Unlock()
+	old := f.classes.Load()
+	next := &classTable{inOrder: slices.Clone(old.inOrder), byName: make(map[string]*classCounts, len(names))}
+	maps.Copy(next.byName, old.byName)
+	for _, name := range names {
+		if next.byName[name] == nil {
+			class := &classCounts{name: name}
+			next.byName[name] = class
+			next.inOrder = append(next.inOrder, class)
+		}
+	}
+	f.classes.Store(next)
+}
+
 // Request is the counting state of one request. The zero Request counts nowhere, so that
 // its methods may always be called. The end of a streamed body and the answer may be counted by
 // two goroutines at the same time.
 type Request struct {
 	mu      sync.Mutex
 	figures *Figures // where the request was counted; nil before that
-	class   int
+	class   *classCounts
 	ended   bool
 }
 
@@ -59,8 +93,8 @@
 	if f == nil {
 		return
 	}
-	n, ok := f.classIndex[class]
-	if !ok {
+	counts := f.classes.Load().byName[class]
+	if counts == nil {
 		return
 	}
 	r.mu.Lock()
@@ -68,7 +102,7 @@
 	if r.figures != nil {
 		return
 	}
-	r.figures, r.class = f, n
+	r.figures, r.class = f, counts
 	f.accepted.Add(1)
 }
 
@@ -81,7 +115,7 @@
 		return
 	}
 	r.ended = true
-	r.figures.counts[r.class][how].Add(1)
+	r.class.counts[how].Add(1)
 	r.figures.ended.Add(1)
 }
 
@@ -113,8 +147,8 @@
 
 // Count returns the number of requests of a class with this end, 0 for an unknown class.
 func (f *Figures) Count(class string, how Outcome) int64 {
-	if n, ok := f.classIndex[class]; ok {
-		return f.counts[n][how].Load()
+	if counts := f.classes.Load().byName[class]; counts != nil {
+		return counts.counts[how].Load()
 	}
 	return 0
 }
@@ -137,9 +171,10 @@
 		b = append(b, '=')
 		b = append(strconv.AppendInt(b, v, 10), '\n')
 	}
+	classes := f.classes.Load().inOrder
 	for how, name := range [...]string{"succeeded", "declined", "aborted"} {
-		for n, class := range f.classes {
-			appendLine(name, class, f.counts[n][how].Load())
+		for _, class := range classes {
+			appendLine(name, class.name, class.counts[how].Load())
 		}
 	}
 	appendLine("forwards", "", f.forwarded.Load())
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -110,3 +110,31 @@
 	none.CountForwarded()
 	none.CountReload(true)
 }
+
+// Guards against requests of a class that a new configuration has added and that no counter shows:
+// they are counted from then on, the counters of the other classes go on, and an open request of
+// theirs ends where it was counted.
+func TestLaterClassesAreCounted(t *testing.T) {
+	f := New([]string{"a"})
+	var early, unknown, late Request
+	f.CountRequest(&early, "a")
+	f.CountRequest(&unknown, "b")
+	f.AddClasses([]string{"b", "a"})
+	f.AddClasses([]string{"b"})
+	f.CountRequest(&late, "b")
+	if f.Outstanding() != 2 {
+		t.Errorf("%d requests are outstanding, want 2", f.Outstanding())
+	}
+	for _, r := range []*Request{&early, &unknown, &late} {
+		r.CountEnd(Succeeded)
+	}
+	if f.Count("a", Succeeded) != 1 || f.Count("b", Succeeded) != 1 || f.Outstanding() != 0 {
+		t.Errorf("counted a %d, b %d, outstanding %d; want 1, 1, 0", f.Count("a", Succeeded), f.Count("b", Succeeded), f.Outstanding())
+	}
+	text := string(f.Append(nil, ServerCounts{}))
+	for _, line := range []string{"balancer.succeeded.a=1\n", "balancer.succeeded.b=1\n", "balancer.aborted.b=0\n"} {
+		if strings.Count(text, line) != 1 {
+			t.Errorf("the page lacks %q: %s", line, text)
+		}
+	}
+}
