--- a/internal/fleet/zones_test.go
+++ b/internal/fleet/zones_test.go
@@ -282,6 +282,11 @@
 				if len(h.departures("a")) < 12 || otherServerSends == 0 {
 					t.Errorf("%d sidecars left zone a, want 12; %d sends to its other servers, want some", len(h.departures("a")), otherServerSends)
 				}
+				for party, at := range h.departures("a") {
+					if at > 2*time.Second+departureLimit {
+						t.Errorf("%s left zone a at %v, want %v after the cut at most", party, at, departureLimit)
+					}
+				}
 			}
 		})
 	}
