The log has the Req-Id, the cause of each attempt's end and the reason of each close

Need: in the incident the logs could not tell a server's reset from the sidecar's own close (both 'reset'), its lines had no id that clients and servers know, and refused and failed calls were not logged at all.

Change: core.Attempt has Cause, which the transport sets at each place that ends an attempt; 'attempt ended' shows it and the Req-Id. New lines: 'further attempt' with retry or hedge, 'call refused' and 'call failed' with the reason, 'client connection closed without an answer', 'closed to make room', 'request rejected' and 'reset: its answer is incomplete'.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -57,6 +57,7 @@
 		a.ticket = h.observer.Sent(a.sentAt, server)
 		h.watchedAttempts[a.ticket] = a
 	}
+	h.logFurtherAttempt(call, server)
 	call.attempts = append(call.attempts, a)
 	call.outstanding++
 	h.traceAttempt(a.sentAt, call, a)
@@ -105,7 +106,7 @@
 func (a *attempt) Done(outcome chalkrack.Outcome, answer any, rep chalkrack.LoadReport) {
 	if a.stream != nil {
 		if outcome != chalkrack.OK {
-			a.host.log().Info("streamed answer ended early", "server", a.server, "by", outcomeNames[outcome])
+			a.host.log().Info("streamed answer ended early", "id", a.call.id, "server", a.server, "by", outcomeNames[outcome], "cause", a.handle.Cause())
 		}
 		a.stream.End(outcome == chalkrack.OK)
 		return
@@ -134,7 +135,7 @@
 		outcome = chalkrack.Reset
 	}
 	if outcome != chalkrack.OK && outcome != chalkrack.Full && outcome != chalkrack.Cancelled {
-		h.log().Info("attempt ended: "+outcomeNames[outcome], "id", call.id, "class", call.details.Class, "attempt", a.index, "server", a.server, "after", now-a.sentAt, "phase", a.handle.Phase())
+		h.log().Info("attempt ended: "+outcomeNames[outcome], "id", call.id, "request", call.logID(), "class", call.details.Class, "attempt", a.index, "server", a.server, "after", now-a.sentAt, "phase", a.handle.Phase(), "cause", a.handle.Cause())
 	}
 	callEnded := call.ended
 	h.balancer.AttemptDone(now, call.id, a.index, outcome, callEnded, rep)
@@ -197,7 +198,7 @@
 		h.endAttempt(now, a, outcome, nil, chalkrack.LoadReport{})
 	}
 	if !call.ended {
-		h.log().Error("call not answered by its deadline", "class", call.details.Class)
+		h.log().Error("call not answered by its deadline", "id", call.id, "request", call.logID(), "class", call.details.Class)
 		h.balancer.ClientGone(now, call.id)
 		h.endCall(call, action{kind: actFail})
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -149,4 +149,7 @@
 	Close()
 	// Phase returns the phase that the attempt has reached, for the log.
 	Phase() string
+	// Cause returns what ended the attempt, for the log; empty while it goes on, and if its outcome
+	// says all.
+	Cause() string
 }
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -292,7 +292,7 @@
 		call.ended, taken = true, true
 		h.cancelUnsent(call)
 		h.recordEnd(now, call, "left")
-		h.log().Info("client left", "id", call.id, "class", c.Class, "after", time.Since(c.Received), "attempts", len(call.attempts), "wait", c.Timeout)
+		h.log().Info("client left", "id", call.id, "request", call.logID(), "class", c.Class, "after", time.Since(c.Received), "attempts", len(call.attempts), "wait", c.Timeout)
 		defer h.removeIfDone(call)
 		h.balancer.ClientGone(now, call.id)
 	})
@@ -442,6 +442,7 @@
 	} else {
 		h.recordEnd(h.now(), call, "failed")
 	}
+	h.logEnd(h.now(), call, final.kind)
 	final.caller = call.details.Caller
 	h.queueAction(final)
 	h.removeIfDone(call)
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -42,6 +42,7 @@
 func (m *memTransport) Probe(string, time.Duration, func(chalkrack.LoadReport)) {}
 func (a *memAttempt) Close()                                                    {}
 func (a *memAttempt) Phase() string                                             { return "sent" }
+func (a *memAttempt) Cause() string                                             { return "" }
 func (a *memAttempt) Abandon() bool {
 	a.owner.mu.Lock()
 	defer a.owner.mu.Unlock()
--- a/internal/core/trace_test.go
+++ b/internal/core/trace_test.go
@@ -97,6 +97,7 @@
 func (inertTransport) CancelUnsent() bool                      { return true }
 func (inertTransport) Close()                                  {}
 func (inertTransport) Phase() string                           { return "writing" }
+func (inertTransport) Cause() string                           { return "" }
 
 // refusableCaller is a caller that reports a refusal on a channel.
 type refusableCaller struct {
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -93,6 +93,7 @@
 		case err == nil:
 			continue
 		case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+			c.logClose("body incomplete", err)
 			status = -1
 		default:
 			status = http.StatusBadRequest
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -296,6 +296,15 @@
 	c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
+// logClose logs that the sidecar ends the connection with no answer, and why. A client that has closed
+// its side itself is not logged.
+func (c *conn) logClose(reason string, err error) {
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	slog.Info("client connection closed without an answer", "client", c.nc.RemoteAddr(), "reason", reason, "err", err)
+}
+
 // reject answers a request that is not passed on with status, and ends the connection. What
 // the client still sends is discarded, up to maxLingerBytes, because closing at once could
 // lose the answer. Until then the connection can be evicted.
@@ -303,6 +312,7 @@
 
 // rejectWith is like reject and adds the header lines in field.
 func (c *conn) rejectWith(status int, field string) {
+	slog.Info("request rejected, connection closed", "client", c.nc.RemoteAddr(), "status", status)
 	x := &Exchange{conn: c}
 	b := append(message.AppendLength(x.appendHead(nil, status, field, nil), 0), "\r\n"...)
 	c.nc.SetWriteDeadline(time.Now().Add(lingerTimeout))
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -280,6 +281,9 @@
 	return s.draining || x.bodyUnread || x.conn.overflowed
 }
 
+// maxLoggedIDBytes bounds what the log shows of an ID, which clients choose.
+const maxLoggedIDBytes = 64
+
 // finishAnswer makes the connection idle after an answer; a connection that stayed busy could
 // be neither evicted nor closed by a drain. If the connection does not go on it is half-closed
 // here, so that the client learns of it at once; its own goroutine, which may be reading,
@@ -287,6 +291,7 @@
 func (x *Exchange) finishAnswer(ok bool) {
 	c := x.conn
 	if !ok {
+		slog.Info("client connection reset: its answer is incomplete", "request", x.ID[:min(len(x.ID), maxLoggedIDBytes)], "class", x.Class)
 		resetOnClose(c)
 	}
 	s := c.srv
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -212,11 +212,23 @@
 	}
 	s.mu.Unlock()
 	if victim != nil {
+		slog.Info("client connection closed to make room for another", "client", victim.nc.RemoteAddr(), "state", victimState(victim, ending, idle))
 		victim.nc.Close()
 	}
 	return victim != nil
 }
 
+// victimState names the state for which a connection was evicted, for the log.
+func victimState(victim, ending, idle *conn) string {
+	switch victim {
+	case ending:
+		return "ending"
+	case idle:
+		return "idle"
+	}
+	return "in a head"
+}
+
 // Drain prepares the shutdown. It ends idle connections now and the others after their next
 // answer. New connections are still served. Call it repeatedly: each call also ends the
 // connections that have become idle, and the new ones that have sent nothing for
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -82,6 +82,7 @@
 		c.rejectWith(http.StatusServiceUnavailable, retryAfterField(limitRetryAfter))
 		return nil, -1
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr):
+		c.logClose("head incomplete", err)
 		return nil, -1
 	}
 	return nil, http.StatusBadRequest
--- a/internal/front/stored_body.go
+++ b/internal/front/stored_body.go
@@ -139,6 +139,7 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		c.logClose("body incomplete", err)
 		return -1
 	}
 	return http.StatusBadRequest
--- a/internal/radius/transport/attempt.go
+++ b/internal/radius/transport/attempt.go
@@ -293,6 +293,9 @@
 	return "waiting"
 }
 
+// Cause implements core.Attempt. The outcomes of attempts over UDP say all.
+func (a *attempt) Cause() string { return "" }
+
 // countRefusal counts the refusal of a packet. Once all packets of the attempt were refused, the
 // server can't have run the request: the attempt ends, and finished is true.
 func (a *attempt) countRefusal() (finished bool) {
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -43,7 +45,7 @@
 			_, err = c.reader.Peek(1)
 		}
 		if err != nil || !a.hasBegun() {
-			a.handleBreak()
+			a.handleBreak(err)
 			return
 		}
 		c.limited.pauseTimeout = p.stallTimeout
@@ -63,8 +65,9 @@
 	return a.began
 }
 
-// handleBreak handles the end of a connection before any byte of an answer.
-func (a *Attempt) handleBreak() {
+// handleBreak handles the end of a connection before any byte of an answer. err is that of the
+// read, nil if bytes came before the request had begun.
+func (a *Attempt) handleBreak(err error) {
 	a.mu.Lock()
 	written, heldBack, sendFailed := a.written, a.heldBack, a.sendFailed
 	a.readFailed = true
@@ -76,17 +79,24 @@
 	if early {
 		a.pool.recordEarlyBreak(a.connIdle, a.connUses)
 	}
+	cause := errEarlyBytes
+	if err != nil {
+		cause = fmt.Errorf("%w: %w", errServerClosed, err)
+	}
 	switch {
 	case written:
-		a.finish(chalkrack.Reset)
+		a.finish(chalkrack.Reset, cause)
 	case heldBack, sendFailed:
-		a.finish(chalkrack.ConnectFailed)
+		a.finish(chalkrack.ConnectFailed, cause)
 	}
 }
 
 var (
 	errMalformedHead = errors.New("upstream: malformed answer head")
 	errAnswerTooLong = errors.New("upstream: answer body is too long")
+	errAnswerPaused  = errors.New("upstream: the answer paused for longer than the limit")
+	errEarlyBytes    = errors.New("upstream: the server sent bytes before the request had begun")
+	errClientGone    = errors.New("upstream: the client accepts no more of the answer")
 )
 
 // An answer that has begun and pauses for longer than the stall timeout counts as stopped. The
@@ -124,6 +134,9 @@
 	}
 	n, err := r.Conn.Read(p[:min(int64(len(p)), r.remaining)])
 	r.remaining -= int64(n)
+	if r.pauseTimeout > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errAnswerPaused
+	}
 	return n, err
 }
 
@@ -132,7 +145,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			slog.Error("panic while receiving an answer", "panic", p, "stack", string(debug.Stack()))
-			a.finish(chalkrack.Reset)
+			a.finish(chalkrack.Reset, errPanic)
 			reusable = false
 		}
 	}()
@@ -147,7 +160,7 @@
 	resp, err := c.readHead(a.Request.Method, a.pool.cfg.Heads)
 	if err != nil {
 		slog.Warn("invalid answer from server", "server", a.Server, "err", err)
-		a.finish(chalkrack.Reset)
+		a.finish(chalkrack.Reset, err)
 		return false
 	}
 	report := ParseLoad(resp.Header.Get("Srv-Load"))
@@ -156,7 +169,7 @@
 	// client could get a head without a body as its only answer.
 	var long bool
 	if answer.Body, long, err = readBuffered(resp.Body, answer.Length); err != nil {
-		a.finish(chalkrack.Reset)
+		a.finish(chalkrack.Reset, err)
 		return false
 	}
 	good := resp.StatusCode == http.StatusOK || (a.pool.cfg.PassClientErrors || a.PassClientErrors || beforeLastByte) && clientError(resp.StatusCode)
@@ -301,7 +314,7 @@
 		return false
 	}
 	if _, err := w.Write(answer.Body); err != nil {
-		a.finish(chalkrack.Cancelled) // the client has disconnected
+		a.finish(chalkrack.Cancelled, fmt.Errorf("%w: %w", errClientGone, err))
 		return false
 	}
 	c.limited.pauseTimeout = a.pool.streamStallTimeout // no other attempt is possible after this point
@@ -310,12 +323,12 @@
 	for total := len(answer.Body); ; {
 		n, err := resp.Body.Read(*buf)
 		if total += n; total > maxAnswerBytes {
-			a.finish(chalkrack.Reset)
+			a.finish(chalkrack.Reset, errAnswerTooLong)
 			return false
 		}
 		if n > 0 {
 			if _, werr := w.Write((*buf)[:n]); werr != nil {
-				a.finish(chalkrack.Cancelled)
+				a.finish(chalkrack.Cancelled, fmt.Errorf("%w: %w", errClientGone, werr))
 				return false
 			}
 		}
@@ -326,7 +339,7 @@
 			a.Sink.Done(chalkrack.OK, nil, report)
 			return reusable
 		default:
-			a.finish(chalkrack.Reset)
+			a.finish(chalkrack.Reset, err)
 			return false
 		}
 	}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -60,7 +61,8 @@
 	connIdle time.Duration
 	connUses int
 
-	answering bool // an answer has begun; only for Phase
+	answering bool  // an answer has begun; only for Phase
+	cause     error // why the attempt ended; only for Cause
 }
 
 // NewAttempt implements core.Transport. The payload must be a *message.Request.
@@ -91,9 +93,9 @@
 	c, addr, err := p.acquire(a)
 	switch {
 	case errors.Is(err, errPoolFull):
-		a.finish(chalkrack.NotSent)
+		a.finish(chalkrack.NotSent, err)
 	case err != nil:
-		a.finish(chalkrack.ConnectFailed)
+		a.finish(chalkrack.ConnectFailed, err)
 	case c != nil:
 		a.send(c)
 	default:
@@ -142,6 +144,16 @@
 	return fmt.Sprintf("%s on a connection idle for %v after %d requests", phase, a.connIdle.Round(time.Millisecond), a.connUses)
 }
 
+// Cause implements core.Attempt.
+func (a *Attempt) Cause() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cause == nil {
+		return ""
+	}
+	return a.cause.Error()
+}
+
 // Close closes the connection of an abandoned attempt.
 func (a *Attempt) Close() {
 	a.mu.Lock()
@@ -162,15 +174,27 @@
 	}
 }
 
-func (a *Attempt) finish(outcome chalkrack.Outcome) {
+// finish reports the outcome of an attempt without an answer. cause says why it ended, nil if the
+// outcome says all.
+func (a *Attempt) finish(outcome chalkrack.Outcome, cause error) {
+	a.mu.Lock()
+	if a.cause == nil {
+		a.cause = cause
+	}
+	a.mu.Unlock()
 	a.Sink.Done(outcome, nil, chalkrack.LoadReport{})
 }
 
+var (
+	errPanic        = errors.New("upstream: panic, see the log")
+	errServerClosed = errors.New("upstream: the server ended the connection")
+)
+
 // recoverPanic contains a panic in the attempt's own goroutine and ends the attempt.
 func (a *Attempt) recoverPanic() {
 	if cause := recover(); cause != nil {
 		slog.Error("panic while sending an attempt", "panic", cause, "stack", string(debug.Stack()))
-		a.finish(chalkrack.Reset)
+		a.finish(chalkrack.Reset, errPanic)
 	}
 }
 
@@ -181,10 +205,10 @@
 	switch {
 	case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
 		slog.Warn("cannot connect to server: no file descriptor left", "err", err)
-		a.finish(chalkrack.NotSent)
+		a.finish(chalkrack.NotSent, err)
 		return
 	case err != nil:
-		a.finish(chalkrack.ConnectFailed)
+		a.finish(chalkrack.ConnectFailed, err)
 		return
 	}
 	go a.sendGuarded(c)
@@ -223,10 +247,9 @@
 func (a *Attempt) reportSendResult(c *conn, complete, readFailed bool, err error) {
 	switch {
 	case !complete:
-		slog.Debug("request not written", "server", a.Server, "err", err)
 		a.pool.discard(c)
-		a.finish(chalkrack.ConnectFailed)
+		a.finish(chalkrack.ConnectFailed, fmt.Errorf("request not written: %w", cmp.Or(err, errAttemptEnded)))
 	case readFailed:
-		a.finish(chalkrack.Reset)
+		a.finish(chalkrack.Reset, errServerClosed)
 	}
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"strconv"
@@ -112,13 +113,15 @@
 	return true
 }
 
+var errSendBlocked = errors.New("upstream: not sent, as it would have begun too late, on a broken connection or for a client that has left")
+
 // abortUnsent ends an attempt that its server cannot have begun. It is called with the lock held
 // and releases it.
 func (a *Attempt) abortUnsent(c *conn, outcome chalkrack.Outcome) {
 	a.ended, a.heldBack = true, false // so that closing the connection does not count as a break by the server
 	a.mu.Unlock()
 	a.pool.discard(c)
-	a.finish(outcome)
+	a.finish(outcome, errSendBlocked)
 }
 
 // sendLong writes a long request. The last byte is written with the lock held and only if the
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -20,6 +20,7 @@
 var (
 	errTooLate      = errors.New("upstream: too late to send more of the request")
 	errAttemptEnded = errors.New("upstream: attempt ended")
+	errNoProgress   = errors.New("upstream: the server accepted no data for too long")
 	// errNoReceiver is not the server's fault.
 	errNoReceiver = errors.New("upstream: client no longer waits for the answer")
 )
@@ -33,7 +34,7 @@
 		a.mu.Unlock()
 		slog.Warn("cannot read the request body", "server", a.Server, "err", err)
 		a.pool.discard(c)
-		a.finish(chalkrack.NotSent)
+		a.finish(chalkrack.NotSent, err)
 		return
 	}
 	a.began, a.sentAt, a.reading, a.writerDone = true, time.Now(), reading, make(chan struct{})
@@ -52,21 +53,21 @@
 		switch {
 		case err == nil && !readFailed:
 		case err == nil:
-			a.finish(chalkrack.Reset)
+			a.finish(chalkrack.Reset, errServerClosed)
 		case broke && netErr.Timeout():
 			slog.Info("request not written: server accepts no data", "server", a.Server)
 			a.pool.discard(c)
-			a.finish(chalkrack.ConnectFailed)
+			a.finish(chalkrack.ConnectFailed, errNoProgress)
 		case broke && !readFailed:
 			// The server closed the connection, perhaps after a final answer. The reader finds
 			// that answer or the end of the connection and reports it.
 			slog.Debug("request not written", "server", a.Server, "err", err)
 		case broke, errors.Is(err, errTooLate), readFailed:
 			a.pool.discard(c)
-			a.finish(chalkrack.ConnectFailed)
+			a.finish(chalkrack.ConnectFailed, err)
 		default:
 			a.pool.discard(c)
-			a.finish(chalkrack.NotSent) // not the server's fault
+			a.finish(chalkrack.NotSent, err) // not the server's fault
 		}
 	}()
 }
