--- a/internal/standin/action.go
+++ b/internal/standin/action.go
@@ -67,6 +67,7 @@
 	// BeforeBody answers after the request's head, reads the beginning of its body and closes the
 	// connection. The request doesn't count as arrived.
 	BeforeBody bool
+	Slow       *SlowAnswer // answers 200 with this body instead of Body; nil: none; for Serve only
 }
 
 // Request is a request as a Script sees it.
@@ -147,6 +148,9 @@
 	}
 	switch a.Kind {
 	case Serve:
+		if a.Slow != nil {
+			return a.Slow.write(conn, req.ID)
+		}
 		return write(okAnswer)
 	case Fail:
 		return write("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -32,6 +32,9 @@
 	FallFactor float64
 	// FallFor is the time span over which the overload is measured.
 	FallFor time.Duration
+	// ReadBytesPerSecond is the rate at which the server reads the body of each request; 0 sets no
+	// limit. The server's receive buffers are small then.
+	ReadBytesPerSecond int
 }
 
 // Server stands in for a server of the platform. Its methods may be called from any goroutine.
@@ -251,6 +254,9 @@
 			resetConn(conn)
 			return
 		}
+		if tcpConn, ok := conn.(*net.TCPConn); ok && s.cfg.ReadBytesPerSecond > 0 {
+			tcpConn.SetReadBuffer(slowReceiveBufferBytes)
+		}
 		s.conns[conn] = struct{}{}
 		s.openedConns++
 		s.mu.Unlock()
@@ -305,7 +311,7 @@
 		io.CopyN(io.Discard, httpReq.Body, maxScriptBodyBytes)
 		return false
 	}
-	body, size, hash, err := readBody(httpReq.Body)
+	body, size, hash, err := readBody(s.limitRate(httpReq.Body))
 	if err != nil {
 		return false
 	}
