A pause in an answer ends nothing: the call may get another attempt beside it

Cause: limitedConn.Read (internal/upstream/answer.go) set a read deadline of StallTimeout, half of the shortest aim, and its error ended the attempt as a reset. It cannot tell a slow server from a hung one, so the transport decided what only the client's time can decide.

Change: while nothing of an answer has been passed on, a pause is reported once (core.Sink.Stalled) and the attempt goes on until the call has an answer or its time is up. Balancer.AnswerStalled makes another attempt beside it under the terms of a retry, unless one that has not stalled is under way; whichever answers first wins, and a server that paused meanwhile counts as failing. Answers that are being passed on keep their limit of 2 s.

--- a/balancer.go
+++ b/balancer.go
@@ -187,6 +187,7 @@
 	server                           *server
 	sentAt                           time.Duration
 	done, neverRan, isCopy, censored bool    // censored: the response time is only a lower bound
+	isStalled                        bool    // its answer has begun and paused
 	serverHeld                       float64 // requests that the server held by its load report, this one included
 	responseTime                     float64 // in fractions of the aim
 }
@@ -485,6 +486,25 @@
 	}
 }
 
+// AnswerStalled tells the Balancer that the answer of attempt n has begun and pauses: its server is slow
+// or hangs. The attempt goes on, since its answer may still come in time. If no other one is under way
+// that has not stalled too, the request gets another one under the terms of a retry.
+func (b *Balancer) AnswerStalled(now time.Duration, id RequestID, n int) {
+	req := b.requests[id]
+	if req == nil || n < 0 || n >= len(req.attempts) || req.attempts[n].done {
+		return
+	}
+	req.attempts[n].isStalled = true
+	isUnderWay := func(a attempt) bool { return !a.done && !a.isStalled }
+	isLate := req.class.LateWorth == 0 && now >= req.arrivedAt+req.class.Aim
+	if isLate || req.MaxAttempts == 1 || slices.ContainsFunc(req.attempts, isUnderWay) || !b.mayRetry(req) {
+		return
+	}
+	if b.sendAttempt(req, now, false) && b.retryTokens >= 1 {
+		b.retryTokens--
+	}
+}
+
 // BodyReceived tells the Balancer that a body that was still arriving is complete. The
 // aim and the given deadline count from now.
 func (b *Balancer) BodyReceived(now time.Duration, id RequestID, deadline time.Duration) {
@@ -558,6 +578,10 @@
 		}
 	case ServerError, ConnectFailed, Reset, TimedOut:
 		b.fleet.recordFailure(s, now)
+	case Cancelled:
+		if a.isStalled { // another attempt answered while this one paused
+			b.fleet.recordFailure(s, now)
+		}
 	}
 	switch {
 	case req.BodyPending: // the time that a client takes for its body says nothing about the server
--- a/client/link.go
+++ b/client/link.go
@@ -224,6 +224,9 @@
 	return s
 }
 
+// Stalled implements core.Sink. The daemon makes another attempt itself where that is allowed.
+func (v *daemonAttempt) Stalled() {}
+
 // Done implements core.Sink.
 func (v *daemonAttempt) Done(o chalkrack.Outcome, answer any, _ chalkrack.LoadReport) {
 	if v.stream != nil {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -96,6 +96,17 @@
 	return w
 }
 
+// Stalled implements Sink.
+func (a *attempt) Stalled() {
+	a.host.handleEvent(func(now time.Duration) {
+		if a.ended || a.call.ended {
+			return
+		}
+		a.host.log().Info("answer stalled", "id", a.call.id, "request", a.call.logID(), "attempt", a.index, "server", a.server, "after", now-a.sentAt)
+		a.host.balancer.AnswerStalled(now, a.call.id, a.index)
+	})
+}
+
 // abort ends a streamed answer early.
 func (a *attempt) abort() {
 	a.handle.Abandon()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,6 +111,8 @@
 	// Stream reports that a streamed answer has begun. It returns the writer for the
 	// rest of the body, or nil if the call has already ended.
 	Stream(answer any, rep chalkrack.LoadReport) io.Writer
+	// Stalled reports, at most once, that the answer has begun and pauses. The attempt goes on.
+	Stalled()
 	// Done reports the outcome; answer is set for a complete answer. Only the first
 	// call has an effect.
 	Done(o chalkrack.Outcome, answer any, rep chalkrack.LoadReport)
--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -300,6 +300,9 @@
 // Stream implements core.Sink.
 func (*probeSink) Stream(any, chalkrack.LoadReport) io.Writer { return nil }
 
+// Stalled implements core.Sink. An answer over UDP comes as a whole.
+func (*probeSink) Stalled() {}
+
 // Done implements core.Sink.
 func (s *probeSink) Done(outcome chalkrack.Outcome, _ any, _ chalkrack.LoadReport) {
 	if outcome != chalkrack.NotSent { // a probe that was not sent says nothing about the server
--- a/internal/radius/transport/transport_test.go
+++ b/internal/radius/transport/transport_test.go
@@ -108,6 +108,7 @@
 	got  any
 }
 
+func (*sink) Stalled()                                   {}
 func (*sink) Stream(any, chalkrack.LoadReport) io.Writer { return nil }
 func (s *sink) Done(o chalkrack.Outcome, answer any, _ chalkrack.LoadReport) {
 	s.got = answer
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,7 +22,7 @@
 	DialTimeout        time.Duration
 	DrainGrace         time.Duration
 	MaxConns           int           // maximum number of connections, including those being dialled
-	StallTimeout       time.Duration // longest pause in an answer before it is passed on; 0 means defaultStallTimeout
+	StallTimeout       time.Duration // pause after which an answer that is not passed on yet is reported as stalled; 0 means defaultStallTimeout
 	StreamStallTimeout time.Duration // longest pause in an answer being passed on; 0 means defaultStreamStallTimeout
 	// PassClientErrors treats a 4xx answer (other than 408 and 429) as the server's answer to
 	// the request and not as a failed attempt.
@@ -90,6 +90,7 @@
 	source     httphead.Source       // reads from limited
 	reader     *bufio.Reader         // reads from source
 	headRoom   *httphead.Reservation // of a long head of an answer; nil: none; used by the reader
+	reception  reception             // of the answer that is being read; used by the reader
 	server     *server
 	addr       string
 	idleSince  time.Time // when it last became idle
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -29,6 +29,9 @@
 // Stream implements core.Sink. Load reports are too short to be streamed.
 func (*probeSink) Stream(any, chalkrack.LoadReport) io.Writer { return nil }
 
+// Stalled implements core.Sink. A probe ends at its timeout.
+func (*probeSink) Stalled() {}
+
 // Done implements core.Sink.
 func (p *probeSink) Done(outcome chalkrack.Outcome, answer any, report chalkrack.LoadReport) {
 	loadAnswer, _ := answer.(*message.Answer)
