A server that reads a long request slowly is not given up while its bytes move on

Cause: copySource (internal/upstream/source.go) set one write deadline of 1 s a piece. Linux wakes a blocked writer only when about a third of its send buffer is free, so with a buffer of 4 MB a server that reads 1.3 MB a second or less looks as if it accepted nothing. Same class as the pause in an answer: a limit on one system call stands for progress. Found by the third case of TestFinalAnswersAreInTimeWhileServersReadSlowly, which ended at 1 s while its server went on reading.

Change: a write that times out goes on if bytes were written or the unacknowledged ones (SIOCOUTQ) have become fewer. The last piece is under the same limit; before, it kept the deadline of the piece before. The client's time still ends the call. The cause of an end is set before the connection is closed, as the reader took the sidecar's own close for the server's.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -74,7 +75,10 @@
 		a.pool.recordEarlyBreak(a.connIdle, a.connUses)
 	}
 	cause := errEarlyBytes
-	if err != nil {
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		cause = nil // closed by the sidecar, which has set the cause
+	case err != nil:
 		cause = fmt.Errorf("%w: %w", errServerClosed, err)
 	}
 	switch {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -177,12 +177,24 @@
 // finish reports the outcome of an attempt without an answer. cause says why it ended, nil if the
 // outcome says all.
 func (a *Attempt) finish(outcome chalkrack.Outcome, cause error) {
+	a.setCause(cause)
+	a.Sink.Done(outcome, nil, chalkrack.LoadReport{})
+}
+
+// setCause sets the cause of the attempt's end, unless another was first.
+func (a *Attempt) setCause(cause error) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.cause == nil {
 		a.cause = cause
 	}
-	a.mu.Unlock()
-	a.Sink.Done(outcome, nil, chalkrack.LoadReport{})
+}
+
+// discardConn closes the attempt's connection and reports the outcome.
+func (a *Attempt) discardConn(c *conn, outcome chalkrack.Outcome, cause error) {
+	a.setCause(cause) // before the reader finds the connection closed
+	a.pool.discard(c)
+	a.finish(outcome, cause)
 }
 
 var (
@@ -247,8 +259,7 @@
 func (a *Attempt) reportSendResult(c *conn, complete, readFailed bool, err error) {
 	switch {
 	case !complete:
-		a.pool.discard(c)
-		a.finish(chalkrack.ConnectFailed, fmt.Errorf("request not written: %w", cmp.Or(err, errAttemptEnded)))
+		a.discardConn(c, chalkrack.ConnectFailed, fmt.Errorf("upstream: request not written: %w", cmp.Or(err, errAttemptEnded)))
 	case readFailed:
 		a.finish(chalkrack.Reset, errServerClosed)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"chalkrack/internal/httphead"
+	"chalkrack/internal/tcpstate"
 )
 
 // Config configures a Pool.
@@ -413,6 +414,15 @@
 	return n > 0
 }
 
+// unacknowledged returns the number of bytes that were written and that the server's system has not
+// acknowledged.
+func (c *conn) unacknowledged() (n int, err error) {
+	if controlErr := c.raw.Control(func(fd uintptr) { n, err = tcpstate.Unacknowledged(fd) }); controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
+}
+
 func (c *conn) isQuiet() bool {
 	c.quiet = false
 	return c.raw.Control(c.checkQuiet) == nil && c.quiet
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -120,8 +120,7 @@
 func (a *Attempt) abortUnsent(c *conn, outcome chalkrack.Outcome) {
 	a.ended, a.heldBack = true, false // so that closing the connection does not count as a break by the server
 	a.mu.Unlock()
-	a.pool.discard(c)
-	a.finish(outcome, errSendBlocked)
+	a.discardConn(c, outcome, errSendBlocked)
 }
 
 // sendLong writes a long request. The last byte is written with the lock held and only if the
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -33,8 +34,7 @@
 		a.ended = true
 		a.mu.Unlock()
 		slog.Warn("cannot read the request body", "server", a.Server, "err", err)
-		a.pool.discard(c)
-		a.finish(chalkrack.NotSent, err)
+		a.discardConn(c, chalkrack.NotSent, err)
 		return
 	}
 	a.began, a.sentAt, a.reading, a.writerDone = true, time.Now(), reading, make(chan struct{})
@@ -56,18 +56,15 @@
 			a.finish(chalkrack.Reset, errServerClosed)
 		case broke && netErr.Timeout():
 			slog.Info("request not written: server accepts no data", "server", a.Server)
-			a.pool.discard(c)
-			a.finish(chalkrack.ConnectFailed, errNoProgress)
+			a.discardConn(c, chalkrack.ConnectFailed, errNoProgress)
 		case broke && !readFailed:
 			// The server closed the connection, perhaps after a final answer. The reader finds
 			// that answer or the end of the connection and reports it.
 			slog.Debug("request not written", "server", a.Server, "err", err)
 		case broke, errors.Is(err, errTooLate), readFailed:
-			a.pool.discard(c)
-			a.finish(chalkrack.ConnectFailed, err)
+			a.discardConn(c, chalkrack.ConnectFailed, err)
 		default:
-			a.pool.discard(c)
-			a.finish(chalkrack.NotSent, err) // not the server's fault
+			a.discardConn(c, chalkrack.NotSent, err) // not the server's fault
 		}
 	}()
 }
@@ -118,15 +115,12 @@
 	if !chunked && remaining == 0 {
 		return a.writeLast(c, b, hold)
 	}
-	extendDeadline := func() { c.SetWriteDeadline(time.Now().Add(a.pool.sendTimeout)) }
 	defer c.SetWriteDeadline(time.Time{})
-	extendDeadline()
-	if _, err := c.Write(b); err != nil {
+	if err := a.write(c, b); err != nil {
 		return err
 	}
 	for {
 		piece, err := reading.Next()
-		extendDeadline()
 		switch {
 		case err == io.EOF && chunked:
 			return a.writeLast(c, []byte(lastChunk), hold)
@@ -145,12 +139,11 @@
 			if remaining < 0 {
 				return io.ErrShortBuffer
 			}
-			_, err = c.Write(piece)
+			err = a.write(c, piece)
 		} else {
 			b = strconv.AppendInt(b[:0], int64(len(piece)), 16)
 			b = append(b, "\r\n"...)
-			pieces := net.Buffers{b, piece, []byte("\r\n")}
-			_, err = pieces.WriteTo(c.Conn)
+			err = a.write(c, b, piece, []byte("\r\n"))
 		}
 		if err != nil {
 			return err
@@ -178,7 +171,7 @@
 // last byte is delayed as in holdBack.
 func (a *Attempt) writeLast(c *conn, piece []byte, hold bool) error {
 	if hold {
-		if _, err := c.Write(piece[:len(piece)-1]); err != nil {
+		if err := a.write(c, piece[:len(piece)-1]); err != nil {
 			return err
 		}
 		piece = piece[len(piece)-1:]
@@ -199,6 +192,25 @@
 	}
 	a.lastByteSent = true
 	a.mu.Unlock()
-	_, err := c.Write(piece)
-	return err
+	return a.write(c, piece)
+}
+
+// write writes the pieces. It fails with a time-out if the server accepts nothing for sendTimeout. The
+// system may let a write block for longer than that while the server reads: it wakes the writer when
+// a good part of its buffer is free.
+func (a *Attempt) write(c *conn, pieces ...[]byte) error {
+	remaining := net.Buffers(pieces)
+	for {
+		before, err := c.unacknowledged()
+		isKnown := err == nil
+		c.SetWriteDeadline(time.Now().Add(a.pool.sendTimeout))
+		n, err := remaining.WriteTo(c.Conn)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		after, unknown := c.unacknowledged()
+		if n == 0 && !(isKnown && unknown == nil && after < before) {
+			return err
+		}
+	}
 }
--- a/internal/upstream/source_test.go
+++ b/internal/upstream/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -290,3 +291,54 @@
 		t.Errorf("outcome %d", r.outcome)
 	}
 }
+
+// bigSource is a body of zeros of the given length.
+type bigSource struct{ length int64 }
+
+func (s bigSource) Length() int64                     { return s.length }
+func (s bigSource) Open() (message.BodyReader, error) { return &bigReading{remaining: s.length}, nil }
+
+type bigReading struct{ remaining int64 }
+
+func (r *bigReading) Next() ([]byte, error) {
+	piece := make([]byte, min(r.remaining, 32<<10))
+	r.remaining -= int64(len(piece))
+	if len(piece) == 0 {
+		return nil, io.EOF
+	}
+	return piece, nil
+}
+func (*bigReading) Close() {}
+
+// Guards against requests that are given up because a write blocks while the server goes on reading.
+func TestSlowlyReadBodyIsSent(t *testing.T) {
+	const length = 12 << 20
+	addr, _ := startFakeServer(t, func(c net.Conn, br *bufio.Reader) {
+		request, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		for {
+			if _, err := io.CopyN(io.Discard, request.Body, 64<<10); err != nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		io.WriteString(c, okResponse)
+	})
+	for _, chunked := range []bool{false, true} {
+		p := newPool(9)
+		p.sendTimeout = 80 * time.Millisecond
+		p.AddServer("s", addr, 0)
+		s := newSink()
+		a := newPostAttempt(newPieceSource(0), s, true)
+		a.Request.Source, a.Request.Chunked = bigSource{length}, chunked
+		if !chunked {
+			a.Request.Head = fmt.Appendf(a.Request.Head, "Content-Length: %d\r\n", length)
+		}
+		p.Start(a)
+		if r := s.wait(t); r.outcome != chalkrack.OK {
+			t.Errorf("chunked %v: outcome %d, cause %q", chunked, r.outcome, a.Cause())
+		}
+	}
+}
