An attempt that is given up takes its unsent bytes with it

Cause: Attempt.Close (internal/upstream/attempt.go) closed the connection in the ordinary way. What the sidecar had written and the server's system had not taken stays in the send buffer, up to 4 MB, and the system sends it after the close: a server that reads slowly begins a request long after its call has ended.

Change: if bytes are unacknowledged, or the system cannot tell, the close is a reset, which drops them.

Measured: TestAbandonedRequestIsNotCompleted failed without the call: the server received all 1,048,654 bytes of the given-up request, stored and streamed. With it: 20 of 20 passed under the race detector.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -170,6 +170,7 @@
 	}
 	a.pool.mu.Unlock()
 	if isOwner {
+		c.dropUnsent()
 		c.Close()
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -423,6 +423,17 @@
 	return n, err
 }
 
+// dropUnsent makes the system drop what the server's system has not got when the connection is closed.
+// It would go on sending it otherwise, and the server would begin a request that was given up.
+func (c *conn) dropUnsent() {
+	if n, err := c.unacknowledged(); err == nil && n == 0 {
+		return
+	}
+	if l, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		l.SetLinger(0)
+	}
+}
+
 func (c *conn) isQuiet() bool {
 	c.quiet = false
 	return c.raw.Control(c.checkQuiet) == nil && c.quiet
--- a/internal/upstream/source_test.go
+++ b/internal/upstream/source_test.go
@@ -342,3 +342,48 @@
 		}
 	}
 }
+
+// Guards against requests that reach a server after they were given up, from the system's buffers.
+func TestAbandonedRequestIsNotCompleted(t *testing.T) {
+	const length = 1 << 20
+	for name, setBody := range map[string]func(r *message.Request){
+		"stored":   func(r *message.Request) { r.Body = [][]byte{make([]byte, length)} },
+		"streamed": func(r *message.Request) { r.Source = bigSource{length} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			received := make(chan int64, 1)
+			goOn := make(chan struct{})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				c.(*net.TCPConn).SetReadBuffer(16 << 10)
+				<-goOn
+				n, _ := io.Copy(io.Discard, c)
+				received <- n
+			}()
+			written := make(chan struct{}, 1)
+			p := New(Config{ConnIdleTimeout: time.Minute, DialTimeout: 5 * time.Second, DrainGrace: time.Minute, MaxConns: 9, OnRequestWritten: func() { written <- struct{}{} }})
+			p.AddServer("s", listener.Addr().String(), 0)
+			a := newPostAttempt(newPieceSource(0), newSink(), true)
+			a.Request.Source, a.Request.Chunked = nil, false
+			a.Request.Head = fmt.Appendf(a.Request.Head, "Content-Length: %d\r\n", length)
+			setBody(a.Request)
+			p.Start(a)
+			<-written
+			a.Abandon()
+			a.Close()
+			close(goOn)
+			if n := <-received; n >= length {
+				t.Errorf("the server received %d bytes of a request that was given up", n)
+			}
+		})
+	}
+}
