A client's reset is seen behind bytes that are still unread

Cause: the last check before a request is sent asks TCP_INFO whether the connection is in CLOSE_WAIT (socketPeeker.inCloseWait), because a peek finds the unread bytes only. A client that closes with bytes of its own unread, or with SO_LINGER 0, sends a reset: the state is then CLOSE, the unread bytes stay readable, and the check said that the client is still there. Requests that it had sent ahead were read and forwarded.

Change: the client has left in every state but ESTABLISHED and the two in which only the sidecar has closed.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -140,7 +140,7 @@
 		case err != nil || n == 0:
 			return isRemoteClosed(n, err)
 		case c.br.Buffered() == c.br.Size():
-			return c.peeker.inCloseWait()
+			return c.peeker.endSeen()
 		}
 		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
 			return true
--- a/internal/front/last_byte_clock.go
+++ b/internal/front/last_byte_clock.go
@@ -2,18 +2,13 @@
 
 import (
 	"sync"
-	"syscall"
 	"time"
 
 	"chalkrack/internal/tcpstate"
 )
 
-const (
-	// defaultUnread stands for the unread bytes of a connection whose system does not tell them.
-	defaultUnread = 6 << 20
-	// maxReadMarks bounds the marks of a lastByteClock.
-	maxReadMarks = 9
-)
+// maxReadMarks bounds the marks of a lastByteClock.
+const maxReadMarks = 9
 
 // lastByteClock tells the earliest time at which the client can have written the last byte of the
 // body that is being read. A body is read no faster than its server takes it, so bytes that were
@@ -93,31 +88,3 @@
 	}
 	return c.peeker.lastDataAt() // has arrived and is about to be read
 }
-
-// nothingUnread reports whether all bytes that have arrived have been read; also if the connection
-// cannot tell.
-func (s *socketPeeker) nothingUnread() bool {
-	_, err := s.peek()
-	return err == syscall.EAGAIN || err == errNoPeek
-}
-
-// lastDataAt returns when data last arrived, now if the system does not tell.
-func (s *socketPeeker) lastDataAt() time.Time {
-	now, age := time.Now(), time.Duration(0)
-	if s.raw != nil {
-		s.raw.Control(func(fd uintptr) { age, _ = tcpstate.SinceLastData(fd) })
-	}
-	return now.Add(-age)
-}
-
-// unread returns the number of bytes that have arrived and have not been read.
-func (s *socketPeeker) unread() (n int) {
-	err := errNoPeek
-	if s.raw != nil {
-		s.raw.Control(func(fd uintptr) { n, err = tcpstate.Unread(fd) })
-	}
-	if err != nil {
-		return defaultUnread
-	}
-	return n
-}
