A call that may have run is not attempted again when its id comes again

Cause: the front knows the ids of open requests only (openIDs). When a client leaves, or its answer is lost, the id is free at once, while the attempt at a server may have run or may still run; the same id on another connection is a new call and runs again.

A call whose id is claimed is failed, with a line in the log. Attempts of a previous tier may repeat an id (Limits.FromTier), as before. The set is that of the tiers' marks with a time of its own: seenMarks is recentSet now. Clients use an id once (PROTOCOL), so usual clients see no difference.

--- a/internal/core/action.go
+++ b/internal/core/action.go
@@ -18,6 +18,7 @@
 	answer     any
 	retryAfter time.Duration
 	server     string
+	id         string
 }
 
 // actionKind selects what an action does.
@@ -34,6 +35,7 @@
 	actCloseIdle
 	actProbe
 	actTrace
+	actForgetID
 )
 
 // actionLists recycles the lists of queued actions.
@@ -76,6 +78,8 @@
 		h.transport.Probe(server, probeTimeout, func(rep chalkrack.LoadReport) {
 			h.handleEvent(func(now time.Duration) { h.balancer.Probed(now, server, rep) })
 		})
+	case actForgetID:
+		h.ids.forget(a.id)
 	case actTrace:
 		h.writeTrace(a.answer.(*Trace))
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,7 +75,9 @@
 	MaxAttempts int
 	// Mark is the ID of this attempt in the previous tier, used if MaxAttempts is 1; empty: no
 	// duplicate is expected.
-	Mark       string
+	Mark string
+	// FromTier says that the call is an attempt of a previous tier, which may repeat its ID.
+	FromTier   bool
 	NotAfter   time.Time // no attempt begins later; zero: no such limit
 	OnlyServer string    // the only server that the call may go to; empty: any
 	// BodyTimeout is the maximum time for the rest of the body of a call that arrives before
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -31,6 +31,7 @@
 	log       func() *slog.Logger
 	traceLog  *slog.Logger    // nil: off
 	observer  AttemptObserver // nil: none
+	ids       *idClaims       // nil: IDs may come again
 
 	start     time.Time
 	startUnix time.Duration // the Unix time at start
@@ -43,7 +44,7 @@
 	generations      *generation.Machine
 	held             map[chalkrack.RequestID]*callState
 	lastID           chalkrack.RequestID
-	marks            seenMarks
+	marks            recentSet // of attempts of previous tiers, by ID and mark
 	timers           timerHeap
 	watchedAttempts  map[uint64]*attempt // outstanding attempts by the observer's ticket; nil: no observer
 	timer            *time.Timer
@@ -68,6 +69,10 @@
 	TraceLog *slog.Logger
 	// Observer observes each attempt; nil: none.
 	Observer AttemptObserver
+	// ClaimIDs prevents that a call which is not safe to repeat runs again when its ID comes again.
+	ClaimIDs bool
+	// SharedIDs has the claims of all processes of the sidecar; nil: there is one process.
+	SharedIDs IDRegistry
 }
 
 // noLimits is used where Call.Limits is nil.
@@ -84,6 +89,7 @@
 	outstanding int  // the number of attempts without an outcome
 	ended       bool // it has its final answer, or its client has left
 	bodyPending bool // its body is not complete
+	claimsID    bool
 
 	trace     *Trace        // nil: not traced
 	arrivedAt time.Duration // when it arrived or, if later, when its body was complete
@@ -125,6 +131,10 @@
 		held:        make(map[chalkrack.RequestID]*callState),
 		traceLog:    cfg.TraceLog,
 		observer:    cfg.Observer,
+		marks:       recentSet{ttl: markTTL},
+	}
+	if cfg.ClaimIDs {
+		h.ids = &idClaims{shared: cfg.SharedIDs, recent: recentSet{ttl: idTTL}}
 	}
 	if cfg.Log != nil {
 		h.log = func() *slog.Logger { return cfg.Log }
@@ -192,6 +202,11 @@
 	if c.Generation.Gen == nil {
 		c.Generation = h.Stamp()
 	}
+	claimsID := h.needsClaim(c)
+	if claimsID && !h.ids.claim(h.now(), c.ID) {
+		h.refuseRepeat(c)
+		return
+	}
 	gen := c.Generation.Gen
 	callSettings := gen.Settings
 	h.handleEvent(func(now time.Duration) {
@@ -199,6 +214,9 @@
 		if h.closed || callSettings.MaxHeld > 0 && len(h.held) >= callSettings.MaxHeld {
 			h.log().Warn("call refused: call limit reached or closed", "held", len(h.held), "closed", h.closed)
 			h.generations.RecordFailure(c.Generation, classIndex, configtrial.Refused)
+			if claimsID {
+				h.queueAction(action{kind: actForgetID, id: c.ID})
+			}
 			h.queueAction(action{kind: actRefuse, caller: c.Caller, retryAfter: callSettings.Config.MaxRetryAfter / 10, unsent: true})
 			h.queueAction(action{kind: actRelease, caller: c.Caller})
 			return
@@ -207,7 +225,7 @@
 		if limits == nil {
 			limits = &noLimits
 		}
-		if limits.MaxAttempts == 1 && limits.Mark != "" && h.marks.seenBefore(c.ID, limits.Mark, now) {
+		if limits.MaxAttempts == 1 && limits.Mark != "" && h.marks.add(now, c.ID, limits.Mark) {
 			h.log().Warn("duplicate of a marked attempt: not attempted again", "class", c.Class)
 			h.queueAction(action{kind: actFail, caller: c.Caller})
 			h.queueAction(action{kind: actRelease, caller: c.Caller})
@@ -222,7 +240,7 @@
 			deadline = min(deadline, h.shutdownDeadline)
 		}
 		h.lastID++
-		call := &callState{id: h.lastID, details: c, deadline: deadline, classIndex: classIndex, arrivedAt: now, bodyPending: limits.BodyTimeout > 0}
+		call := &callState{id: h.lastID, details: c, deadline: deadline, classIndex: classIndex, arrivedAt: now, bodyPending: limits.BodyTimeout > 0, claimsID: claimsID}
 		if classIndex >= 0 {
 			call.class = &gen.Rules().Classes[classIndex]
 		}
@@ -424,6 +442,9 @@
 		h.recordEnd(h.now(), call, "failed")
 	}
 	h.logEnd(h.now(), call, final.kind)
+	if call.outstanding == 0 {
+		h.forgetUnsentID(call) // before the answer: its client may send the ID again then
+	}
 	final.caller = call.details.Caller
 	h.queueAction(final)
 	h.removeIfDone(call)
@@ -450,6 +471,7 @@
 func (h *Host) removeIfDone(call *callState) {
 	if call.ended && call.outstanding == 0 && call.details != nil {
 		delete(h.held, call.id)
+		h.forgetUnsentID(call)
 		h.queueTrace(call)
 		h.queueAction(action{kind: actRelease, caller: call.details.Caller})
 		call.details, call.attempts = nil, nil
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -102,7 +102,14 @@
 // newQuietHost returns a host without log output, with the given number of listed servers.
 func newQuietHost(t *testing.T, transport *memTransport, config *settings.Settings, servers int) *core.Host {
 	t.Helper()
-	h, err := core.New(core.Config{Settings: config, Seed: 1, Transport: transport, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	return newQuietHostWith(t, core.Config{Settings: config, Seed: 1, Transport: transport}, servers)
+}
+
+// newQuietHostWith is newQuietHost with a configuration.
+func newQuietHostWith(t *testing.T, config core.Config, servers int) *core.Host {
+	t.Helper()
+	config.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	h, err := core.New(config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -159,10 +159,10 @@
 	if len(values) == 1 {
 		number, _, _ := strings.Cut(mark, ";")
 		if n, err := strconv.Atoi(strings.TrimSpace(number)); err == nil && n > 1 {
-			return &core.Limits{MaxAttempts: n}
+			return &core.Limits{MaxAttempts: n, FromTier: true}
 		}
 	}
-	return &core.Limits{MaxAttempts: 1, Mark: "=" + mark}
+	return &core.Limits{MaxAttempts: 1, Mark: "=" + mark, FromTier: true}
 }
 
 // Refuse implements core.Caller: it answers with 503, which tells the client that it may safely
