Ids of calls are claimed among the processes of an upgrade

Cause: each process knows its own ids only. Both processes accept from one listening socket, so a client that comes again may reach the other one, while the first still runs its request or after the client has left. Shown by a run with two daemons on one socket: of 40 ids, each sent four times, those whose clients stayed ran twice and those whose clients left ran up to four times.

A sidecar that has its listener for itself opens no table.

--- a/internal/components/operating/handover.go
+++ b/internal/components/operating/handover.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"log/slog"
-	"path/filepath"
 	"runtime/debug"
-	"strings"
 	"time"
 
 	"chalkrack"
@@ -44,13 +42,7 @@
 // clients' socket for them, and applies the operators' changes. If the folder can't be
 // opened, this process still serves, without a handover.
 func (o *Operation) openFolder() {
-	name := "fawnrock-" + strings.Map(func(r rune) rune {
-		if r == '/' || r == 0 {
-			return '_'
-		}
-		return r
-	}, o.config.Listen)
-	f, err := handover.Open(filepath.Join(o.config.Tmp, name))
+	f, err := handover.Open(handover.FolderPath(o.config.Tmp, o.config.Listen))
 	if err != nil {
 		slog.Error("handover folder can't be opened: no handover between processes", "err", err)
 		return
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -22,6 +22,7 @@
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
+	"chalkrack/internal/handover"
 	"chalkrack/internal/httphead"
 	"chalkrack/internal/membership"
 	"chalkrack/internal/radius/proxy"
@@ -138,7 +139,7 @@
 	if s.zones, err = newZones(c); err != nil {
 		return err
 	}
-	s.host, err = core.New(core.Config{Observer: zoneObserver(s.zones), Generation: c.Generation(c.ID()), Seed: c.Seed, Transport: s.pool, TraceLog: traceLogger(c), ClaimIDs: true})
+	s.host, err = core.New(core.Config{Observer: zoneObserver(s.zones), Generation: c.Generation(c.ID()), Seed: c.Seed, Transport: s.pool, TraceLog: traceLogger(c), ClaimIDs: true, SharedIDs: s.openSharedIDs()})
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -146,6 +147,21 @@
 	return nil
 }
 
+// openSharedIDs returns the claims of all processes of the sidecar, or nil if this one has its listener
+// for itself.
+func (s *sidecar) openSharedIDs() core.IDRegistry {
+	if s.cfg.InheritedFD == 0 {
+		return nil
+	}
+	claims, err := handover.OpenClaims(handover.FolderPath(s.cfg.Getenv("TMPDIR"), s.cfg.Listen))
+	if err != nil {
+		slog.Error("ids can't be claimed among the processes of this sidecar", "err", err)
+		return nil
+	}
+	s.onClose(func() { claims.Close() })
+	return claims
+}
+
 func (s *sidecar) startWeights() (err error) {
 	if s.weights, err = newWeights(s.cfg, s.host); err != nil || s.weights == nil {
 		return err
