Timers of ended calls are removed, whatever wait their callers stated

Cause: the timer of a call's deadline stays in the heap of core.Host until it is due, with the call's state (internal/core/timer.go: 'up to one deadline for each call that arrived within maxClientWait', which is 10 minutes). A client that states a long Req-Deadline-Ms and sends one request after the other leaves 110 to 130 bytes a call behind, at 8,000 calls a second; the same holds for the Balancer's timers of classes with a long aim. Ruled out: names. Floods under new tenants, keys, classes, kinds and marks grow no more than those under one.

Change: when the number of timers has doubled since the last time, those of ended calls and those that the Balancer no longer needs (Balancer.IsTimerPending) are removed.

--- a/balancer.go
+++ b/balancer.go
@@ -398,6 +398,11 @@
 	}
 }
 
+// IsTimerPending reports whether Timer would do something for a cookie.
+func (b *Balancer) IsTimerPending(cookie uint64) bool {
+	return b.timers[cookie] != nil || cookie == b.subscribeCookie
+}
+
 // sendCopy sends a copy of req if the policy and the budget allow it and the
 // Balancer does not shed.
 func (b *Balancer) sendCopy(req *request, now time.Duration) {
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -49,6 +49,7 @@
 	watchedAttempts  map[uint64]*attempt // outstanding attempts by the observer's ticket; nil: no observer
 	timer            *time.Timer
 	timerAt          time.Duration // when timer fires; 0: not set
+	compactAt        int           // number of timers at which pointless ones are removed
 	actions          *[]action     // nil: none
 	shutdownDeadline time.Duration // 0: ShutDownWithin was not called
 	// listedAt is the time of the last list or change received from discovery.
--- a/internal/core/timer.go
+++ b/internal/core/timer.go
@@ -10,8 +10,7 @@
 const minTimerDelay = 2 * time.Millisecond
 
 // timerEntry is a timer of the Balancer or the deadline of a call. It stays in the heap until
-// it is due, even if its call has ended, so the heap holds up to one deadline for each
-// call that arrived within maxClientWait.
+// it is due or, if it has become pointless, until the next compaction.
 type timerEntry struct {
 	at     time.Duration
 	cookie uint64
@@ -33,8 +32,32 @@
 	return x
 }
 
+// minCompaction is the least number of timers at which pointless ones are removed.
+const minCompaction = 1024
+
 // addTimer adds a timer. The caller holds the lock.
-func (h *Host) addTimer(a timerEntry) { heap.Push(&h.timers, a) }
+func (h *Host) addTimer(a timerEntry) {
+	if len(h.timers) >= max(h.compactAt, minCompaction) {
+		h.compactTimers()
+	}
+	heap.Push(&h.timers, a)
+}
+
+// compactTimers removes the timers of ended calls and those that the Balancer no longer needs. A caller
+// may state a wait of maxClientWait, so these would pile up for as long. The next compaction comes when
+// the number of timers has doubled, so that its cost is spread over as many calls of addTimer.
+func (h *Host) compactTimers() {
+	needed := h.timers[:0]
+	for _, timer := range h.timers {
+		if timer.call != nil && timer.call.details != nil || timer.call == nil && h.balancer.IsTimerPending(timer.cookie) {
+			needed = append(needed, timer)
+		}
+	}
+	clear(h.timers[len(needed):])
+	h.timers = needed
+	heap.Init(&h.timers)
+	h.compactAt = 2 * len(h.timers)
+}
 
 // resetTimer sets the runtime timer to the earliest entry. It resets the timer if that entry is
 // due earlier than the one the timer is set to; without this, an entry that is added later
