A body without room is read in pieces of 2 KB, not 64

Cause: readBody (internal/front/body.go) reads a body that finds no room in the budget into a buffer of its own, to discard it: 64 KiB a connection, outside every budget, for as long as the client writes.

Change: the buffer has 2 KiB.

--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -17,6 +17,8 @@
 const (
 	firstPieceBytes = 4 << 10
 	pieceBytes      = 64 << 10
+	// discardBytes is the size of the pieces in which a body without room is read.
+	discardBytes = 2 << 10
 )
 
 // byteBudget bounds the bytes of request bodies that all connections hold in memory together.
@@ -63,13 +65,16 @@
 	var scratch []byte
 	size := int64(firstPieceBytes)
 	for total := int64(0); ; size = pieceBytes {
-		if in.length > 0 {
+		switch {
+		case overBudget:
+			size = discardBytes
+		case in.length > 0:
 			size = min(pieceBytes, in.length-total)
 		}
 		if !overBudget && !b.reserve(size) {
 			overBudget = true
 			discard()
-			scratch = make([]byte, pieceBytes)
+			scratch = make([]byte, discardBytes)
 		}
 		piece := scratch
 		if !overBudget {
