Answers that are held or passed on take memory from a budget

Cause: an answer holds its first part of up to 64 KiB in a slice of up to 128 KiB (readBuffered), which the answer referred to until the end of the stream; the front copied it behind the head before it wrote it (Stream.Write, writeAnswer), and each stream has a buffer of 16 KiB. A client that does not read holds all of them, outside every budget. Same class as long heads and bodies without room: bounds on one message and on the number of connections, none on the sum.

Change: first parts over 4 KB and stream buffers take room from a budget of a sixteenth of the memory limit, for all servers and pools; it is divided between the processes of an upgrade. Without room an answer is passed on while it arrives, in pieces of 4 KB: another attempt is then not possible, but nothing is refused. The first part is dropped once it is written, and the front writes pieces over 4 KB from where they are. Package bytebudget has the budget, also for the bodies that the front holds.

--- a/internal/components/operating/handover.go
+++ b/internal/components/operating/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chalkrack"
+	"chalkrack/internal/bytebudget"
 	"chalkrack/internal/evacuation"
 	"chalkrack/internal/handover"
 	"chalkrack/internal/httphead"
@@ -167,6 +168,7 @@
 	debug.SetMemoryLimit(o.config.Limits.Memory / int64(parts))
 	o.config.Pool.SetMaxConns(o.config.Limits.Conns / parts)
 	o.srv.SetMaxBodyBytes(o.config.Limits.Bodies / int64(parts))
+	o.config.Limits.Answers.Divide(parts)
 	for _, budget := range o.config.Limits.Heads {
 		budget.Divide(parts)
 	}
@@ -177,10 +179,11 @@
 
 // Limits are the limits of the whole sidecar, which its processes share.
 type Limits struct {
-	Memory int64              // of the heap, in bytes
-	Conns  int                // to servers
-	Bodies int64              // of requests, in bytes
-	Heads  []*httphead.Budget // for the long heads of requests and of answers
+	Memory  int64              // of the heap, in bytes
+	Conns   int                // to servers
+	Bodies  int64              // of requests, in bytes
+	Heads   []*httphead.Budget // for the long heads of requests and of answers
+	Answers *bytebudget.Budget // for answers that are held
 }
 
 // closeFolder waits for watchProcesses and removes this process from the folder.
--- a/internal/components/pools/pools.go
+++ b/internal/components/pools/pools.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"chalkrack/internal/bytebudget"
 	"chalkrack/internal/core"
 	"chalkrack/internal/discovery"
 	"chalkrack/internal/features"
@@ -52,8 +53,9 @@
 	Settings *settings.Settings // the platform's
 	Features *features.File
 	Seed     uint64
-	Trace    *slog.Logger     // receives the traces of calls; may be nil
-	Heads    *httphead.Budget // for the long heads of answers; nil: a budget for each pool
+	Trace    *slog.Logger       // receives the traces of calls; may be nil
+	Heads    *httphead.Budget   // for the long heads of answers; nil: a budget for each pool
+	Answers  *bytebudget.Budget // for answers that are held; nil: not bounded
 }
 
 // Settings returns the platform's settings with the pool's own values applied.
@@ -82,7 +84,7 @@
 	s.startUnix = time.Duration(s.start.UnixNano())
 	s.conns = upstream.New(upstream.Config{
 		ConnIdleTimeout: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MaxConns: p.MaxConnections, StallTimeout: set.ShortestAim() / 2,
-		Heads: c.Heads,
+		Heads: c.Heads, Answers: c.Answers,
 	})
 	var err error
 	s.host, err = core.New(core.Config{
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,6 +66,10 @@
 // maxHeadBytes returns the limit of memory for the long heads of requests, and of answers, in bytes.
 func maxHeadBytes(c *Config) int64 { return int64(c.MemoryMB) << 20 / 16 }
 
+// maxAnswerBytes returns the limit of memory for answers that are held before they are passed on, in
+// bytes.
+func maxAnswerBytes(c *Config) int64 { return int64(c.MemoryMB) << 20 / 16 }
+
 // maxShortBodyBytes returns the part of maxBodyBytes for the bodies that the front holds itself.
 func maxShortBodyBytes(c *Config) int64 {
 	if c.Features.Bodies.Enabled {
--- a/internal/daemon/management.go
+++ b/internal/daemon/management.go
@@ -37,7 +37,7 @@
 // operationConfig returns the configuration of package operating.
 func operationConfig(s *sidecar) operating.Config {
 	c := s.cfg
-	cfg := operating.Config{Host: s.host, Figures: s.figures, ApplyList: s.applyList, Pool: s.pool, Limits: operating.Limits{Memory: maxHeapBytes(c), Conns: s.maxConnsPerSide, Bodies: maxShortBodyBytes(c), Heads: []*httphead.Budget{s.requestHeads, s.answerHeads}},
+	cfg := operating.Config{Host: s.host, Figures: s.figures, ApplyList: s.applyList, Pool: s.pool, Limits: operating.Limits{Memory: maxHeapBytes(c), Conns: s.maxConnsPerSide, Bodies: maxShortBodyBytes(c), Heads: []*httphead.Budget{s.requestHeads, s.answerHeads}, Answers: s.answers},
 		Shared: c.InheritedFD > 0, Tmp: c.Getenv("TMPDIR"), Listen: c.Listen}
 	if s.zones != nil {
 		cfg.Zones = s.zones
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -11,6 +11,7 @@
 
 	"chalkrack/internal/admin"
 	"chalkrack/internal/body"
+	"chalkrack/internal/bytebudget"
 	"chalkrack/internal/components/changes"
 	"chalkrack/internal/components/duties"
 	"chalkrack/internal/components/levels"
@@ -39,6 +40,7 @@
 	maxConnsPerSide  int              // limit for clients, and for servers
 	requestHeads     *httphead.Budget // for the long heads of requests
 	answerHeads      *httphead.Budget // for the long heads of answers
+	answers          *bytebudget.Budget
 	figures          *figures.Figures
 	pool             *upstream.Pool
 	watcher          *discovery.Watcher
@@ -111,6 +113,7 @@
 	// A call holds one connection on each side. With only a third for the servers' side, a busy
 	// sidecar of 256 descriptors evicted idle connections to 60 servers to open new ones.
 	s.maxConnsPerSide = conns / 2
+	s.answers = bytebudget.New(maxAnswerBytes(s.cfg))
 	s.requestHeads, s.answerHeads = httphead.NewBudget(maxHeadBytes(s.cfg)), httphead.NewBudget(maxHeadBytes(s.cfg))
 	return nil
 }
@@ -126,6 +129,7 @@
 		// Leaves half of the shortest aim for another attempt.
 		StallTimeout:     c.Settings.ShortestAim() / 2,
 		Heads:            s.answerHeads,
+		Answers:          s.answers,
 		OnRequestWritten: s.figures.CountForwarded,
 	})
 	s.watcher = &discovery.Watcher{Addr: c.Discovery, Timing: discovery.AgentTiming}
@@ -232,7 +236,7 @@
 }
 
 func (s *sidecar) startRouting() (err error) {
-	if s.routes, err = newRouting(s.cfg, s.answerHeads); err != nil {
+	if s.routes, err = newRouting(s.cfg, s.answerHeads, s.answers); err != nil {
 		return err
 	}
 	s.onClose(s.routes.Close)
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -21,32 +20,6 @@
 	discardBytes = 2 << 10
 )
 
-// byteBudget bounds the bytes of request bodies that all connections hold in memory together.
-type byteBudget struct {
-	mu        sync.Mutex
-	remaining int64
-}
-
-// reserve takes n bytes from the budget, and reports false if fewer are left.
-func (b *byteBudget) reserve(n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.remaining < n {
-		return false
-	}
-	b.remaining -= n
-	return true
-}
-
-// release returns n bytes to the budget.
-func (b *byteBudget) release(n int64) {
-	if n > 0 {
-		b.mu.Lock()
-		b.remaining += n
-		b.mu.Unlock()
-	}
-}
-
 // readBody reads the body of a request into memory, within the server's byte budget, and
 // returns how many bytes it has reserved for it. If the budget is exceeded it reads and
 // discards the rest of the body, and reserved is -1. A status above 0 is to be answered; below
@@ -55,11 +28,11 @@
 	if in.body == http.NoBody {
 		return nil, 0, 0
 	}
-	b := &c.srv.budget
+	b := c.srv.budget
 	reader := c.newMinRateReader(in.body, minBodyRate, bodyTimeout)
 	overBudget := false
 	discard := func() {
-		b.release(reserved)
+		b.Release(reserved)
 		body, reserved = nil, 0
 	}
 	var scratch []byte
@@ -71,7 +44,7 @@
 		case in.length > 0:
 			size = min(pieceBytes, in.length-total)
 		}
-		if !overBudget && !b.reserve(size) {
+		if !overBudget && !b.Reserve(size) {
 			overBudget = true
 			discard()
 			scratch = make([]byte, discardBytes)
--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -218,17 +218,42 @@
 	buf := buffers.Get().(*[]byte)
 	b := message.AppendLength(x.appendHead((*buf)[:0], status, field, h), int64(len(body)))
 	b = append(b, "\r\n"...)
-	b = append(b, body...)
+	var long []byte // written from where it is, without a copy
+	if len(body) <= maxCopiedBytes {
+		b = append(b, body...)
+	} else {
+		long = body
+	}
 	// Small answers need a deadline too: a client that sends requests and never reads fills
 	// the socket buffers, and the write would block the goroutine that delivers the answer.
 	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.nc.Write(b)
+	err := c.writePieces(b, long)
 	*buf = b
 	putBuffer(buf)
 	x.recordEnd(status, err == nil)
 	x.finishAnswer(err == nil)
 }
 
+// maxCopiedBytes is the size of the longest body that is copied behind its head. A client that reads
+// slowly holds what is written to it.
+const maxCopiedBytes = 4 << 10
+
+// writePieces writes the pieces, of which the others may be empty, in one call.
+func (c *conn) writePieces(first []byte, others ...[]byte) error {
+	pieces := net.Buffers{first}
+	for _, piece := range others {
+		if len(piece) > 0 {
+			pieces = append(pieces, piece)
+		}
+	}
+	if len(pieces) == 1 {
+		_, err := c.nc.Write(first)
+		return err
+	}
+	_, err := pieces.WriteTo(c.nc)
+	return err
+}
+
 // recordEnd counts the outcome of the request by status; an answer that was not written in
 // full counts as aborted. It counts the arrival too if that has not been counted, for requests
 // that were never passed on.
@@ -322,7 +347,7 @@
 	if x.keptBody != nil {
 		x.keptBody.Drop()
 	}
-	x.conn.srv.budget.release(x.reservedBytes)
+	x.conn.srv.budget.Release(x.reservedBytes)
 	x.reservedBytes = 0
 	x.releaseHead()
 }
@@ -376,23 +401,19 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
-	b := w.head
+	head, end := w.head, []byte(nil)
 	w.head = nil
-	if w.chunked {
-		b = strconv.AppendInt(b, int64(len(p)), 16)
-		b = append(b, "\r\n"...)
-		b = append(b, p...)
-		b = append(b, "\r\n"...)
-	} else {
-		if w.remaining >= 0 {
-			if w.remaining -= int64(len(p)); w.remaining < 0 {
-				return 0, errLengthExceeded
-			}
+	switch {
+	case w.chunked:
+		head = append(strconv.AppendInt(head, int64(len(p)), 16), "\r\n"...)
+		end = []byte("\r\n")
+	case w.remaining >= 0:
+		if w.remaining -= int64(len(p)); w.remaining < 0 {
+			return 0, errLengthExceeded
 		}
-		b = append(b, p...)
 	}
 	w.x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := w.x.conn.nc.Write(b); err != nil {
+	if err := w.x.conn.writePieces(head, p, end); err != nil {
 		return 0, err
 	}
 	return len(p), nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"chalkrack/internal/bytebudget"
 	"chalkrack/internal/core"
 	"chalkrack/internal/figures"
 	"chalkrack/internal/generation"
@@ -106,7 +107,7 @@
 type Server struct {
 	cfg     Config
 	handler Handler
-	budget  byteBudget
+	budget  *bytebudget.Budget // of request bodies in memory
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -122,7 +123,7 @@
 	if cfg.Heads == nil {
 		cfg.Heads = httphead.NewBudget(0)
 	}
-	return &Server{cfg: cfg, handler: h, budget: byteBudget{remaining: cfg.MaxBodyBytes}, conns: make(map[*conn]struct{}), openIDs: make(map[string]*Exchange)}
+	return &Server{cfg: cfg, handler: h, budget: bytebudget.New(cfg.MaxBodyBytes), conns: make(map[*conn]struct{}), openIDs: make(map[string]*Exchange)}
 }
 
 // Serve accepts connections on ln and blocks until ln is closed, whose net.ErrClosed it
@@ -259,12 +260,7 @@
 
 // SetMaxBodyBytes changes Config.MaxBodyBytes to maxBytes. If more bytes are reserved already, no
 // body is accepted until enough of them have been released.
-func (s *Server) SetMaxBodyBytes(maxBytes int64) {
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	s.budget.remaining += maxBytes - s.cfg.MaxBodyBytes
-	s.cfg.MaxBodyBytes = maxBytes
-}
+func (s *Server) SetMaxBodyBytes(maxBytes int64) { s.budget.SetLimit(maxBytes) }
 
 // describeConns returns the number of connections in each state, for log lines.
 func (s *Server) describeConns() string {
--- a/internal/standin/slow.go
+++ b/internal/standin/slow.go
@@ -26,15 +26,19 @@
 // SlowAnswer is a sound answer that the server writes slowly: its head, then its body in lumps of the
 // same size.
 type SlowAnswer struct {
-	Size      int // bytes of the body
+	Size      int    // bytes of the body
+	Content   []byte // the body; nil: that of Body
 	Framing   Framing
 	Lumps     int           // at least 1
 	HeadPause time.Duration // between the head and the first lump
 	LumpPause time.Duration // between two lumps
 }
 
-// Body returns the body that the answer to a request has: its id again and again.
+// Body returns the body that the answer to a request has: Content, or its id again and again.
 func (a *SlowAnswer) Body(id string) []byte {
+	if a.Content != nil {
+		return a.Content[:a.Size]
+	}
 	line := []byte(id + "\n")
 	return bytes.Repeat(line, a.Size/len(line)+1)[:a.Size]
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,12 +7,14 @@
 	"bufio"
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"chalkrack/internal/bytebudget"
 	"chalkrack/internal/httphead"
 	"chalkrack/internal/tcpstate"
 )
@@ -31,6 +33,9 @@
 	// Heads bounds the memory of the heads of answers that are longer than a connection's buffer. If
 	// it is nil, the Pool has a budget of its own.
 	Heads *httphead.Budget
+	// Answers bounds the memory of the answers that are held before they are passed on. If it is nil,
+	// it is not bounded.
+	Answers *bytebudget.Budget
 	// OnRequestWritten is called for each attempt after its last byte is written; it may be nil.
 	OnRequestWritten func()
 }
@@ -107,6 +112,9 @@
 	if cfg.Heads == nil {
 		cfg.Heads = httphead.NewBudget(0)
 	}
+	if cfg.Answers == nil {
+		cfg.Answers = bytebudget.New(math.MaxInt64)
+	}
 	p := &Pool{cfg: cfg, servers: make(map[string]*server), earlyBreakWindow: defaultEarlyBreakWindow, stallTimeout: defaultStallTimeout, streamStallTimeout: defaultStreamStallTimeout, holdBackDelay: defaultHoldBackDelay, sendTimeout: defaultSendTimeout}
 	p.idleTimeout = p.maxIdleTimeout()
 	if cfg.StreamStallTimeout > 0 {
--- a/internal/upstream/reception.go
+++ b/internal/upstream/reception.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +21,9 @@
 	// passOnMargin is how long before the attempt's deadline a held first part is passed on at the
 	// latest.
 	passOnMargin = 20 * time.Millisecond
+	// unbudgetedBytes is how much of an answer is held without room in the budget for answers.
+	unbudgetedBytes   = 4 << 10
+	streamBufferBytes = 16 << 10
 )
 
 var errClientGone = errors.New("upstream: the client accepts no more of the answer")
@@ -36,6 +38,8 @@
 	answer     *message.Answer // nil until its head has been read
 	report     chalkrack.LoadReport
 	isGood     bool      // its status makes it the call's answer
+	hasNoRoom  bool      // it is passed on while it arrives, however short
+	reserved   int64     // of the budget for answers
 	isStalled  bool      // the pause has been reported
 	isPassedOn bool      // passOn was called
 	body       []byte    // the first part of the body
@@ -51,8 +55,29 @@
 	c.limited.pauses = r
 }
 
-// end drops what the reception refers to.
-func (r *reception) end() { *r = reception{} }
+// end drops what the reception refers to, and returns its room.
+func (r *reception) end() {
+	r.release()
+	*r = reception{}
+}
+
+// reserve takes room for n more bytes of the answer, and reports false if there is none.
+func (r *reception) reserve(n int64) bool {
+	if !r.attempt.pool.cfg.Answers.Reserve(n) {
+		return false
+	}
+	r.reserved += n
+	return true
+}
+
+// release drops the first part and returns all room.
+func (r *reception) release() {
+	if r.body = nil; r.answer != nil {
+		r.answer.Body = nil
+	}
+	r.attempt.pool.cfg.Answers.Release(r.reserved)
+	r.reserved = 0
+}
 
 // limit implements pauseHandler.
 func (r *reception) limit() time.Duration {
@@ -103,23 +128,27 @@
 }
 
 // isLong reports whether the answer may be passed on before it is complete.
-func (r *reception) isLong() bool { return r.answer.Length < 0 || r.answer.Length > MaxBuffered }
+func (r *reception) isLong() bool {
+	return r.answer.Length < 0 || r.answer.Length > MaxBuffered || r.hasNoRoom
+}
 
 // readFirstPart reads the part of a body that is held before the answer is passed on: a body of
 // known length up to MaxBuffered completely, others up to MaxBuffered, or what has arrived if bytes
-// still arrive after slowBodyDelay. more reports that the body goes on. It returns early if a pause
+// still arrive after slowBodyDelay, or what the budget has room for. more reports that the body goes on. It returns early if a pause
 // has made it pass the answer on; err is then that of the last read.
 func (r *reception) readFirstPart(body io.Reader) (more bool, err error) {
+	length := r.answer.Length
+	r.hasNoRoom = length > unbudgetedBytes && length <= MaxBuffered && !r.reserve(length)
 	if !r.isLong() {
 		r.body = make([]byte, r.answer.Length)
 		_, err = io.ReadFull(body, r.body)
 		return false, err
 	}
 	began := time.Now()
-	r.body = make([]byte, 0, 4<<10)
+	r.body = make([]byte, 0, unbudgetedBytes)
 	for {
-		if len(r.body) == cap(r.body) {
-			r.body = slices.Grow(r.body, len(r.body))
+		if len(r.body) == cap(r.body) && !r.grow() {
+			return true, nil
 		}
 		n, err := body.Read(r.body[len(r.body):cap(r.body)])
 		r.body = r.body[:len(r.body)+n]
@@ -141,6 +170,17 @@
 	}
 }
 
+// grow makes room for more of the first part, up to a little more than MaxBuffered, and reports false
+// if the budget has none.
+func (r *reception) grow() bool {
+	size := min(2*cap(r.body), MaxBuffered+unbudgetedBytes)
+	if !r.reserve(int64(size - cap(r.body))) {
+		return false
+	}
+	r.body = append(make([]byte, 0, size), r.body...)
+	return true
+}
+
 // passOn begins to pass the answer on, with the part of it that has been read.
 func (r *reception) passOn() {
 	r.isPassedOn = true
@@ -158,14 +198,14 @@
 		a.Sink.Done(chalkrack.OK, nil, r.report)
 		return false
 	}
-	total, piece := len(r.body), r.body[r.sent:]
-	r.body = nil
-	buf := streamBuffers.Get().(*[]byte)
-	defer streamBuffers.Put(buf)
+	total := len(r.body)
+	if r.writeErr == nil && r.sent < total {
+		_, r.writeErr = r.stream.Write(r.body[r.sent:])
+	}
+	r.release()
+	buffer, putBack := r.streamBuffer()
+	defer putBack()
 	for {
-		if len(piece) > 0 && r.writeErr == nil {
-			_, r.writeErr = r.stream.Write(piece)
-		}
 		switch {
 		case r.writeErr != nil:
 			a.finish(chalkrack.Cancelled, fmt.Errorf("%w: %w", errClientGone, r.writeErr))
@@ -182,10 +222,21 @@
 			return false
 		}
 		var n int
-		n, err = resp.Body.Read(*buf)
-		piece = (*buf)[:n]
-		total += n
+		n, err = resp.Body.Read(buffer)
+		if total += n; n > 0 && total <= maxAnswerBytes {
+			_, r.writeErr = r.stream.Write(buffer[:n])
+		}
+	}
+}
+
+// streamBuffer returns the buffer in which an answer is passed on, a small one if the budget has no
+// room, and the function to call after its use.
+func (r *reception) streamBuffer() (buffer []byte, putBack func()) {
+	if !r.reserve(streamBufferBytes) {
+		return make([]byte, unbudgetedBytes), func() {}
 	}
+	pooled := streamBuffers.Get().(*[]byte)
+	return *pooled, func() { streamBuffers.Put(pooled) }
 }
 
-var streamBuffers = sync.Pool{New: func() any { b := make([]byte, 16<<10); return &b }}
+var streamBuffers = sync.Pool{New: func() any { b := make([]byte, streamBufferBytes); return &b }}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// waitFor waits until ok returns true and fails the test with failure if that takes too long.
+func waitFor(t *testing.T, failure string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(failure)
+		}
+	}
+}
+
 func newPool(maxConns int) *Pool {
 	return New(Config{ConnIdleTimeout: time.Minute, DialTimeout: 5 * time.Second, DrainGrace: time.Minute, MaxConns: maxConns})
 }
