A late connection to an address where another process has come up is not used

Cause: an attempt looks up its server's address when it starts (Pool.acquire) and sends when the connection is up, up to the dial time-out later. The checks before the send ask whether the server left longer ago than the drain grace (2 s), not who is at the address. A process that is listed there meanwhile gets the request for the old one: it may be cold, of another zone, and in another group than the one that drops the repeats of a keyed request.

Change: the pool knows which server came last to each address; an attempt remembers the process that was there, server and start, and is not sent to another one (mayNotReceive, one lock for this and the grace). It never ran, so it can be tried elsewhere. Servers that share an address all the time are not affected.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -39,8 +39,10 @@
 	PassClientErrors bool      // a 4xx answer (other than 408 and 429) is no failure
 	Sink             core.Sink
 
-	pool   *Pool
-	target *server
+	pool          *Pool
+	target        *server
+	targetAddr    string  // of target when the attempt was started
+	targetProcess process // at that address then
 
 	mu              sync.Mutex
 	conn            *conn
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -45,6 +45,7 @@
 	cfg     Config
 	mu      sync.Mutex
 	servers map[string]*server
+	byAddr  map[string]*server // the server that came last to each address
 	conns   int
 
 	idleTimeout          time.Duration
@@ -115,7 +116,7 @@
 	if cfg.Answers == nil {
 		cfg.Answers = bytebudget.New(math.MaxInt64)
 	}
-	p := &Pool{cfg: cfg, servers: make(map[string]*server), earlyBreakWindow: defaultEarlyBreakWindow, stallTimeout: defaultStallTimeout, streamStallTimeout: defaultStreamStallTimeout, holdBackDelay: defaultHoldBackDelay, sendTimeout: defaultSendTimeout}
+	p := &Pool{cfg: cfg, servers: make(map[string]*server), byAddr: make(map[string]*server), earlyBreakWindow: defaultEarlyBreakWindow, stallTimeout: defaultStallTimeout, streamStallTimeout: defaultStreamStallTimeout, holdBackDelay: defaultHoldBackDelay, sendTimeout: defaultSendTimeout}
 	p.idleTimeout = p.maxIdleTimeout()
 	if cfg.StreamStallTimeout > 0 {
 		p.streamStallTimeout = cfg.StreamStallTimeout
@@ -194,10 +195,17 @@
 		p.servers[name] = s
 	}
 	var toClose []*conn
-	if s.addr != addr || s.started != started {
+	isNew := s.addr != addr || s.started != started
+	if isNew {
 		toClose = p.detachIdle(s)
 	}
+	if s.addr != addr {
+		p.leaveAddr(s)
+	}
 	s.addr, s.started, s.leftAt = addr, started, time.Time{}
+	if isNew || p.byAddr[addr] == nil {
+		p.byAddr[addr] = s
+	}
 	p.mu.Unlock()
 	closeAll(toClose)
 }
@@ -214,12 +222,34 @@
 		}
 		if gone {
 			delete(p.servers, name)
+			p.leaveAddr(s)
 		}
 	}
 	p.mu.Unlock()
 	closeAll(toClose)
 }
 
+// leaveAddr records that a server is no longer at its address. The caller holds the pool's lock.
+func (p *Pool) leaveAddr(s *server) {
+	if p.byAddr[s.addr] == s {
+		delete(p.byAddr, s.addr)
+	}
+}
+
+// process is what was at an address at some time: a server and its start. Its zero value is none.
+type process struct {
+	server  *server
+	started time.Duration
+}
+
+// processAt returns the process at an address. The caller holds the pool's lock.
+func (p *Pool) processAt(addr string) process {
+	if s := p.byAddr[addr]; s != nil {
+		return process{s, s.started}
+	}
+	return process{}
+}
+
 // RetainServers removes all servers that are not listed.
 func (p *Pool) RetainServers(listed map[string]bool) {
 	var unlisted []string
@@ -352,7 +382,7 @@
 	if s == nil {
 		return nil, "", errUnknownServer // removed after the server was selected
 	}
-	a.target = s
+	a.target, a.targetAddr, a.targetProcess = s, s.addr, p.processAt(s.addr)
 	for index := p.newestReusable(s, now); index >= 0; index = p.newestReusable(s, now) {
 		c := s.idle[index]
 		if now.Sub(c.idleSince) <= p.idleTimeout && c.isQuiet() {
@@ -487,9 +517,13 @@
 	p.mu.Unlock()
 }
 
-// isPastDrainGrace reports whether a server left longer ago than the drain grace.
-func (p *Pool) isPastDrainGrace(s *server) bool {
+// mayNotReceive reports whether the target of an attempt must get nothing new: it left longer ago than
+// the drain grace, or another process has come to its address since the attempt was started.
+func (p *Pool) mayNotReceive(a *Attempt) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !s.leftAt.IsZero() && time.Since(s.leftAt) > p.cfg.DrainGrace
+	if present := p.processAt(a.targetAddr); present != (process{}) && present != a.targetProcess {
+		return true
+	}
+	return !a.target.leftAt.IsZero() && time.Since(a.target.leftAt) > p.cfg.DrainGrace
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -89,7 +89,7 @@
 	for range maxChecks {
 		now := time.Now()
 		switch {
-		case a.ended, a.readFailed, a.pool.isPastDrainGrace(a.target), !a.NotAfter.IsZero() && now.After(a.NotAfter), a.hasUnsolicitedData():
+		case a.ended, a.readFailed, a.pool.mayNotReceive(a), !a.NotAfter.IsZero() && now.After(a.NotAfter), a.hasUnsolicitedData():
 			return chalkrack.ConnectFailed, true
 		case a.isUnwanted(now):
 			return chalkrack.NotSent, true
@@ -113,7 +113,7 @@
 	return true
 }
 
-var errSendBlocked = errors.New("upstream: not sent, as it would have begun too late, on a broken connection or for a client that has left")
+var errSendBlocked = errors.New("upstream: not sent, as it would have begun too late, on a broken connection, at another process or for a client that has left")
 
 // abortUnsent ends an attempt that its server cannot have begun. It is called with the lock held
 // and releases it.
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -154,7 +154,7 @@
 // checkMaySend returns an error if no more bytes may be sent: the attempt has ended, it is past
 // NotAfter, or the server left longer ago than the drain grace.
 func (a *Attempt) checkMaySend() error {
-	tooLate := a.pool.isPastDrainGrace(a.target) || !a.NotAfter.IsZero() && time.Now().After(a.NotAfter)
+	tooLate := a.pool.mayNotReceive(a) || !a.NotAfter.IsZero() && time.Now().After(a.NotAfter)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
