Of several servers that are listed at one address the one that came last is there

Cause: discovery notices a crash seconds later (4 to 14 s on the operators' site) than it lists a new process (0.2 to 2 s), which may have the same address. In between both are listed, and the core sent to both names: the new process got the old one's share beside its own, although it is cold, and attempts meant for the old one's zone and group.

Change: membership.AddressTable follows the lists and marks a server as gone that another one has replaced at its address: the one that started later is there or, with the same start, the one that was listed later. The daemon's core uses it (Config.OneServerPerAddress); pools of the operators and the plug-in don't, as their servers may share an address. The figure 'discovered' counts what the list names, as before.

--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -29,9 +29,10 @@
 type Host struct {
 	transport Transport
 	log       func() *slog.Logger
-	traceLog  *slog.Logger    // nil: off
-	observer  AttemptObserver // nil: none
-	ids       *idClaims       // nil: IDs may come again
+	traceLog  *slog.Logger             // nil: off
+	observer  AttemptObserver          // nil: none
+	ids       *idClaims                // nil: IDs may come again
+	addresses *membership.AddressTable // nil: servers may share an address; guarded by mu
 
 	start     time.Time
 	startUnix time.Duration // the Unix time at start
@@ -74,6 +75,9 @@
 	ClaimIDs bool
 	// SharedIDs has the claims of all processes of the sidecar; nil: there is one process.
 	SharedIDs IDRegistry
+	// OneServerPerAddress says that of several servers that are listed with one address, only the one
+	// that came last is there.
+	OneServerPerAddress bool
 }
 
 // noLimits is used where Call.Limits is nil.
@@ -143,6 +147,9 @@
 	if h.observer != nil {
 		h.watchedAttempts = make(map[uint64]*attempt)
 	}
+	if cfg.OneServerPerAddress {
+		h.addresses = new(membership.AddressTable)
+	}
 	h.generationView.Store(generations.View())
 	h.timer = time.AfterFunc(time.Hour, h.fireTimers)
 	h.handleEvent(func(time.Duration) { h.balancer, err = chalkrack.New(*first.Rules(), cfg.Seed, h) })
@@ -377,8 +384,11 @@
 
 // ApplyList applies a list of servers, or of changes, from discovery.
 func (h *Host) ApplyList(list *membership.List) {
-	endpoints := make([]chalkrack.Endpoint, len(list.Entries))
 	h.handleEvent(func(now time.Duration) {
+		if h.addresses != nil {
+			list = h.addresses.Resolve(list)
+		}
+		endpoints := make([]chalkrack.Endpoint, len(list.Entries))
 		h.listedAt = now
 		listed := make(map[string]bool, len(list.Entries))
 		for n, e := range list.Entries {
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -143,7 +143,7 @@
 	if s.zones, err = newZones(c); err != nil {
 		return err
 	}
-	s.host, err = core.New(core.Config{Observer: zoneObserver(s.zones), Generation: c.Generation(c.ID()), Seed: c.Seed, Transport: s.pool, TraceLog: traceLogger(c), ClaimIDs: true, SharedIDs: s.openSharedIDs()})
+	s.host, err = core.New(core.Config{Observer: zoneObserver(s.zones), Generation: c.Generation(c.ID()), Seed: c.Seed, Transport: s.pool, TraceLog: traceLogger(c), ClaimIDs: true, SharedIDs: s.openSharedIDs(), OneServerPerAddress: true})
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
