Bytes of a chunk are passed on before the rest of the chunk has come

Cause: the body reader of net/http (internal/chunked.go, chunkedReader.Read) goes on reading within a chunk until the caller's buffer is full or the chunk ends. A server that announces one long chunk and writes it slowly had up to 16 KB held back in a stream for as long as it paused, and the first part of an answer was not known to be there, so it was not passed on before the deadline.

Lines end with CRLF, as net/http asks; the end of a body that is already there is returned with its last bytes, so that short answers are still served whole. It is a reader for what the transport already accepted; no new form is taken.

Measured: TestPartOfALongChunkIsPassedOn failed before (nothing of the second part within 20 s); with the change it and TestChunkedBody passed 20 times under the race detector, and the tests of upstream, core, front and client pass.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -126,6 +128,9 @@
 	r.isGood = resp.StatusCode == http.StatusOK || (a.pool.cfg.PassClientErrors || a.PassClientErrors || beforeLastByte) && clientError(resp.StatusCode)
 	// The first part of a long answer is also read before the answer is passed on: otherwise the
 	// client could get a head without a body as its only answer.
+	if resp.Body != http.NoBody && slices.Contains(resp.TransferEncoding, "chunked") {
+		resp.Body = io.NopCloser(&chunkedBody{reader: c.reader})
+	}
 	more, err := r.readFirstPart(resp.Body)
 	switch {
 	case r.isPassedOn:
