An answer that is passed on may pause for as long as its clients wait

Change: the limit is the longest deadline of any class, at least 2 s as before and at most 10 s, for the platform's servers and for pools. A server may pause within an answer for as long as it may take to begin one. The plug-in keeps its own setting. A hung server holds its connection and its client for that much longer (1 s here).

--- a/internal/components/pools/pools.go
+++ b/internal/components/pools/pools.go
@@ -83,7 +83,7 @@
 	s := &serverPool{name: p.Name, checks: p.Checks, start: time.Now()}
 	s.startUnix = time.Duration(s.start.UnixNano())
 	s.conns = upstream.New(upstream.Config{
-		ConnIdleTimeout: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MaxConns: p.MaxConnections, StallTimeout: set.ShortestAim() / 2,
+		ConnIdleTimeout: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MaxConns: p.MaxConnections, StallTimeout: set.ShortestAim() / 2, StreamStallTimeout: upstream.StreamStallTimeoutFor(set.MaxDeadline()),
 		Heads: c.Heads, Answers: c.Answers,
 	})
 	var err error
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -127,10 +127,11 @@
 		DrainGrace:      c.Settings.DrainGrace,
 		MaxConns:        s.maxConnsPerSide,
 		// Leaves half of the shortest aim for another attempt.
-		StallTimeout:     c.Settings.ShortestAim() / 2,
-		Heads:            s.answerHeads,
-		Answers:          s.answers,
-		OnRequestWritten: s.figures.CountForwarded,
+		StallTimeout:       c.Settings.ShortestAim() / 2,
+		StreamStallTimeout: upstream.StreamStallTimeoutFor(c.Settings.MaxDeadline()),
+		Heads:              s.answerHeads,
+		Answers:            s.answers,
+		OnRequestWritten:   s.figures.CountForwarded,
 	})
 	s.watcher = &discovery.Watcher{Addr: c.Discovery, Timing: discovery.AgentTiming}
 	if c.NeedsSubscription {
--- a/internal/rig/slow_transfers_test.go
+++ b/internal/rig/slow_transfers_test.go
@@ -110,6 +110,7 @@
 	answers := map[string]standin.SlowAnswer{}
 	for _, framing := range []standin.Framing{standin.ByLength, standin.Chunked, standin.ByClose} {
 		answers["lumps-"+framing.String()] = standin.SlowAnswer{Size: 180_000, Framing: framing, Lumps: 5, LumpPause: 420 * time.Millisecond}
+		answers["paused-"+framing.String()] = standin.SlowAnswer{Size: 180_000, Framing: framing, Lumps: 2, LumpPause: 2400 * time.Millisecond}
 		answers["late-"+framing.String()] = standin.SlowAnswer{Size: 150_000, Framing: framing, Lumps: 1, HeadPause: 900 * time.Millisecond}
 		answers["short-"+framing.String()] = standin.SlowAnswer{Size: 20_000, Framing: framing, Lumps: 2, HeadPause: 420 * time.Millisecond, LumpPause: 420 * time.Millisecond}
 	}
--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -270,3 +270,11 @@
 		t.Errorf("outcome %d, %d streamed", r.outcome, s.streamed.Len())
 	}
 }
+
+func TestStreamStallTimeoutFollowsTheClients(t *testing.T) {
+	for wait, want := range map[time.Duration]time.Duration{0: 2 * time.Second, time.Second: 2 * time.Second, 3 * time.Second: 3 * time.Second, time.Hour: 10 * time.Second} {
+		if got := StreamStallTimeoutFor(wait); got != want {
+			t.Errorf("clients wait for %v: %v, want %v", wait, got, want)
+		}
+	}
+}
--- a/internal/upstream/pauses.go
+++ b/internal/upstream/pauses.go
@@ -18,8 +18,16 @@
 	// defaultStreamStallTimeout is how long an answer that is being passed on may pause before its
 	// server counts as hung.
 	defaultStreamStallTimeout = 2 * time.Second
+	// maxStreamStallTimeout bounds StreamStallTimeoutFor.
+	maxStreamStallTimeout = 10 * time.Second
 )
 
+// StreamStallTimeoutFor returns the Config.StreamStallTimeout for servers whose clients wait for up to
+// longestWait: a server may pause within an answer for as long as it may take to begin one.
+func StreamStallTimeoutFor(longestWait time.Duration) time.Duration {
+	return max(defaultStreamStallTimeout, min(longestWait, maxStreamStallTimeout))
+}
+
 var errAnswerPaused = errors.New("upstream: the answer paused for longer than the limit")
 
 // pauseHandler limits the pauses of what a limitedConn reads.
