A server that moves as another one comes to its old address is not taken for replaced

The first list from discovery moves the known server and has another one at its old address.

The other server came first, replaced the one that had not moved yet in the table, and that one was marked as gone although the same list has it elsewhere.

Change: all servers of a list leave their old addresses before any comes to a new one.

--- a/internal/front/exchange.go
+++ b/internal/front/exchange.go
@@ -227,7 +227,12 @@
 	// Small answers need a deadline too: a client that sends requests and never reads fills
 	// the socket buffers, and the write would block the goroutine that delivers the answer.
 	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	err := c.writePieces(b, long)
+	var err error
+	if long == nil { // without the allocations of several pieces
+		_, err = c.nc.Write(b)
+	} else {
+		err = c.writePieces(b, long)
+	}
 	*buf = b
 	putBuffer(buf)
 	x.recordEnd(status, err == nil)
@@ -246,10 +251,6 @@
 			pieces = append(pieces, piece)
 		}
 	}
-	if len(pieces) == 1 {
-		_, err := c.nc.Write(first)
-		return err
-	}
 	_, err := pieces.WriteTo(c.nc)
 	return err
 }
--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -32,6 +32,11 @@
 	if l.Complete {
 		t.dropUnlisted(l)
 	}
+	for _, entry := range l.Entries { // before others come to the addresses that become free
+		if t.addresses[entry.Name] != entry.Address || entry.State == chalkrack.Gone {
+			t.leave(entry.Name)
+		}
+	}
 	var replaced []string
 	for _, entry := range l.Entries {
 		if loser := t.place(entry); loser != "" {
@@ -75,9 +80,6 @@
 // place enters a server and returns the name of the server that is replaced: the one that was at its
 // address, the server itself if another one is there, or "".
 func (t *AddressTable) place(entry Entry) (replaced string) {
-	if t.addresses[entry.Name] != entry.Address || entry.State == chalkrack.Gone {
-		t.leave(entry.Name)
-	}
 	if entry.State == chalkrack.Gone {
 		delete(t.superseded, entry.Name)
 		return ""
