A refusal or an error counts from its head, whatever becomes of its body

Cause: the outcome was taken from the whole answer (receive, internal/upstream/answer.go), although the head alone says it.

Change: an answer that can't be passed on ends at the first pause or error of its body, with the outcome of its head; its connection is not used again.

--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -135,7 +135,7 @@
 	switch {
 	case r.isPassedOn:
 		return r.finishStream(resp, err)
-	case err != nil:
+	case err != nil && r.isGood:
 		a.finish(chalkrack.Reset, err)
 		return false
 	case more && r.isGood:
@@ -143,8 +143,9 @@
 		return r.finishStream(resp, nil)
 	}
 	// The connection is reused only if nothing of this answer is left on it.
-	reusable = !more && !resp.Close && c.isDrained() && a.isWritten()
-	if !c.isDrained() && !more {
+	isWhole := !more && err == nil
+	reusable = isWhole && !resp.Close && c.isDrained() && a.isWritten()
+	if isWhole && !c.isDrained() {
 		a.pool.recordUnsolicited(a.Server)
 	}
 	r.answer.Body = r.body
--- a/internal/upstream/reception.go
+++ b/internal/upstream/reception.go
@@ -99,7 +99,7 @@
 
 // paused implements pauseHandler.
 func (r *reception) paused() (goOn bool) {
-	if r.isPassedOn {
+	if r.isPassedOn || r.answer != nil && !r.isGood { // the rest of a refusal or an error is not needed
 		return false
 	}
 	if at := r.passOnTime(); at.IsZero() || time.Now().Before(at) {
