Lines of calls that end without an attempt are limited before they are composed

Need: the new line 'call refused' is written for each call that is shed. The logger drops all but five a second, but only after the line has been composed, under the core's lock, and an overload is when a refusal has to cost least.

What a refusal costs was not measured.

--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -51,6 +51,7 @@
 	timer            *time.Timer
 	timerAt          time.Duration // when timer fires; 0: not set
 	compactAt        int           // number of timers at which pointless ones are removed
+	shedLines        lineLimit
 	actions          *[]action     // nil: none
 	shutdownDeadline time.Duration // 0: ShutDownWithin was not called
 	// listedAt is the time of the last list or change received from discovery.
--- a/internal/core/log.go
+++ b/internal/core/log.go
@@ -29,6 +29,9 @@
 	if kind == actRefuse {
 		message = "call refused"
 	}
+	if len(call.attempts) == 0 && !h.shedLines.allow(now) {
+		return
+	}
 	h.log().Info(message, "id", call.id, "request", call.logID(), "class", call.details.Class, "reason", call.endReason(now),
 		"after", now-call.arrivedAt, "wait", call.details.Timeout, "attempts", len(call.attempts))
 }
@@ -45,3 +48,24 @@
 	}
 	return "no further attempt is allowed"
 }
+
+const (
+	lineWindow        = time.Second
+	maxLinesPerWindow = 5
+)
+
+// lineLimit limits the lines of calls that end without an attempt. In an overload these are many, and
+// have to cost little: what the logger would drop is not even composed.
+type lineLimit struct {
+	windowStart time.Duration
+	lines       int
+}
+
+// allow reports whether another line may be logged now.
+func (l *lineLimit) allow(now time.Duration) bool {
+	if now-l.windowStart >= lineWindow {
+		*l = lineLimit{windowStart: now}
+	}
+	l.lines++
+	return l.lines <= maxLinesPerWindow
+}
