The tests' handler ends a call once, as the core does

Cause: front's Handler has to end a call once, and ClientGone has to return false if an answer has begun. The fake of the tests answered without telling its ClientGone: a client that closes after it has read its answer, at the moment at which the connection's goroutine has seen the request as open and its answer's end is recorded, had its call released twice, without a lock between the two. The core ends a call under its lock and is not affected.

Change: answerWith asks the fake first, and does nothing if the client has left.

--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -51,7 +51,24 @@
 	return class, under, class == "a"
 }
 
-func answerWith(x *Exchange, b string) { x.Serve(&message.Answer{Body: []byte(b)}); x.Release() }
+// end ends a call with an answer, and reports false if its client has left before.
+func (f *fake) end(x *Exchange) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended[x] {
+		return false
+	}
+	f.ended[x] = true
+	return true
+}
+
+func answerWith(x *Exchange, b string) {
+	if f, ok := x.handler.(*fake); ok && !f.end(x) {
+		return
+	}
+	x.Serve(&message.Answer{Body: []byte(b)})
+	x.Release()
+}
 
 func echo(x *Exchange) { answerWith(x, string(bytes.Join(x.Request.Body, nil))) }
 
