A test holds the first part of an answer to being passed on before its deadline

Need: read once more, the handling of the deadline in reception.passOnTime had no test: with that condition taken out all of package upstream still passed. The shutdown's condition in Host.mayGoOn has one (TestShutDownWithinAnswersAllCallsInTime fails without it).

Change: a test only; an attempt whose deadline is at 200 ms has to pass its held byte on well before the 1 s of maxHoldTime.

Measured: without the condition passed on after 1.001 s, failed; with it 20 of 20 under the race detector, and the package passes.

--- a/internal/upstream/reception_test.go
+++ b/internal/upstream/reception_test.go
@@ -46,3 +46,21 @@
 		})
 	}
 }
+
+// Guards against a held first part that is lost because its attempt's time ends before it is passed on.
+func TestHeldAnswerIsPassedOnBeforeItsDeadline(t *testing.T) {
+	addr, _ := startFakeServer(t, answerEach("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n"))
+	p := newPool(9)
+	p.streamStallTimeout = 50 * time.Millisecond
+	p.AddServer("s", addr, 0)
+	s := newSink()
+	began, passedOn := time.Now(), make(chan time.Duration, 1)
+	s.onStream = func() { passedOn <- time.Since(began) }
+	a := newGetAttempt(s)
+	a.Deadline = began.Add(maxHoldTime / 5)
+	p.Start(a)
+	if after := <-passedOn; after > maxHoldTime*3/4 {
+		t.Errorf("passed on after %v, the deadline is at %v", after, maxHoldTime/5)
+	}
+	s.wait(t)
+}
