--- a/review/second/case_queue.go
+++ b/review/second/case_queue.go
@@ -15,25 +15,42 @@
 // is up, as calls that wait in the queue are given up. Without trouble they stay for half a second more.
 func caseQueue(s *site) {
 	const (
-		clients = 125
-		length  = 100 * time.Second
+		sidecars = 3
+		clients  = 125 // of each sidecar
+		length   = 100 * time.Second
 	)
 	s.cores = 2
-	act := func(string, string) (time.Duration, ending) { return 30 * time.Millisecond, answers }
+	// Work is distributed exponentially, as the site's (`dist = ["exp", "lognormal"]`).
+	act := func(string, string) (time.Duration, ending) {
+		return time.Duration(rand.ExpFloat64() * float64(30*time.Millisecond)), answers
+	}
 	var servers []*server
 	for n := range 4 {
 		servers = append(servers, s.server(fmt.Sprintf("s%d", n+1), act))
 	}
-	discovery, listen := s.discovery(servers), s.freeAddr()
+	discovery := s.discovery(servers)
 	own := s.features(fmt.Sprintf("version = 1\n[[pools]]\nname = \"counter\"\ndiscovery = %q\nmax_active = 4\nmax_waiting = 200\nqueue_wait = \"1s\"\n[[routes]]\nname = \"counter\"\nprefixes = [\"/activate\"]\npool = \"counter\"\n", discovery))
-	config := s.configure("config.json", listen, discovery, classes(), servers)
-	p := s.start("sidecar", nil, "BALANCER_CONFIG="+config, "FAWN_FEATURES="+own)
-	s.awaitReady(listen)
+	var listens []string
+	var processes []*process
+	ended := make(chan struct{})
+	var once sync.Once
+	for k := range sidecars {
+		listen := s.freeAddr()
+		config := s.configure(fmt.Sprintf("config%d.json", k), listen, discovery, classes(), servers)
+		p := s.start(fmt.Sprintf("sidecar%d", k), nil, "BALANCER_CONFIG="+config, "FAWN_FEATURES="+own)
+		s.awaitReady(listen)
+		go func() {
+			<-p.done
+			once.Do(func() { close(ended) })
+		}()
+		listens, processes = append(listens, listen), append(processes, p)
+	}
 	began := time.Now()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var sent, answered, left, refused atomic.Int64
-	for k := range clients {
+	for k := range sidecars * clients {
+		listen := listens[k%sidecars]
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -41,7 +58,7 @@
 				select {
 				case <-stop:
 					return
-				case <-p.done:
+				case <-ended:
 					return
 				case <-time.After(time.Duration(rand.IntN(160)) * time.Millisecond):
 				}
@@ -66,15 +83,53 @@
 			}
 		}()
 	}
+	// A few clients stay for their answer, up to half a second after their time.
+	var lost atomic.Int64
+	for k := range 4 * sidecars {
+		listen := listens[k%sidecars]
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := &client{s, listen}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-ended:
+					return
+				case <-time.After(200 * time.Millisecond):
+				}
+				q := request{method: "POST", path: "/activate/8962", id: fmt.Sprintf("patient%dn%d", k, n), kind: "activate", body: "body", deadline: time.Second, slack: 500 * time.Millisecond, quiet: true}
+				if a := c.do(q); a.err != nil && !hasEnded(ended) {
+					lost.Add(1)
+					s.note("%s has no answer: %v", q.id, a.err)
+				}
+			}
+		}()
+	}
 	select {
-	case <-p.done:
+	case <-ended:
 	case <-time.After(length):
 	}
 	took := time.Since(began)
 	close(stop)
 	wg.Wait()
-	s.note("%d requests were sent in %v, %.0f a second: %d got an answer, %d clients left without one, %d found nobody listening", sent.Load(), took.Round(time.Millisecond), float64(sent.Load())/took.Seconds(), answered.Load(), left.Load(), refused.Load())
-	if p.hasEnded() {
-		s.broken("the sidecar ended after %v: %v", took.Round(time.Millisecond), p.err)
+	s.note("%d requests were sent to %d sidecars in %v, %.0f a second to each: %d got an answer, %d clients left without one, %d found nobody listening", sent.Load(), sidecars, took.Round(time.Millisecond), float64(sent.Load())/took.Seconds()/sidecars, answered.Load(), left.Load(), refused.Load())
+	if n := lost.Load(); n > 0 && !hasEnded(ended) {
+		s.broken("%d requests of clients that waited had no answer", n)
+	}
+	for k, p := range processes {
+		if p.hasEnded() {
+			s.broken("sidecar%d ended after %v: %v", k, took.Round(time.Millisecond), p.err)
+		}
+	}
+}
+
+func hasEnded(ended chan struct{}) bool {
+	select {
+	case <-ended:
+		return true
+	default:
+		return false
 	}
 }
--- a/review/second/site.go
+++ b/review/second/site.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -25,7 +26,8 @@
 type site struct {
 	root, dir, tmp string
 	trouble        bool
-	cores          float64
+	cores          float64 // of a sidecar; 0: 1
+	sockets        int     // of a sidecar; 0: 1024
 	began          time.Time
 
 	mu       sync.Mutex
@@ -109,7 +111,7 @@
 		"tenants": []any{}, "tier": 0, "tiers": []string{"activation-servers"}, "weights": "rough", "worthBy": "request", "zone": "bandung",
 	}
 	c := map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": max(s.cores, 1), "memory_mb": 192, "sockets": 1024}, "known": listOf(1, servers), "settings": settings}
+		"limits": map[string]any{"cores": max(s.cores, 1), "memory_mb": 192, "sockets": cmp.Or(s.sockets, 1024)}, "known": listOf(1, servers), "settings": settings}
 	data, err := json.MarshalIndent(c, "", " ")
 	s.must(err, "configuration")
 	path := filepath.Join(s.tmp, name)
@@ -327,8 +329,9 @@
 
 type request struct {
 	method, path, id, kind, key string
-	body                        string
+	body, cookie                string
 	deadline                    time.Duration
+	slack                       time.Duration // how long the client waits beyond it; 0: a second
 	who                         string
 	quiet                       bool
 }
@@ -363,11 +366,14 @@
 	if q.key != "" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", q.key)
 	}
+	if q.cookie != "" {
+		fmt.Fprintf(&b, "Cookie: %s\r\n", q.cookie)
+	}
 	if q.method == "POST" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
 	b.WriteString("\r\n" + q.body)
-	conn.SetDeadline(time.Now().Add(wait + time.Second))
+	conn.SetDeadline(time.Now().Add(wait + cmp.Or(q.slack, time.Second)))
 	if _, err := conn.Write(b.Bytes()); err != nil {
 		return answer{err: err}
 	}
