--- a/review/second/case_accounting.go
+++ b/review/second/case_accounting.go
@@ -218,7 +218,7 @@
 			}
 		}
 	}()
-	const events = 12
+	const events = 30
 	began := time.Now()
 	for n := range events {
 		s.note("the terminal reports the start of session-%d", n)
