RADIUS logs that a server has started again

The transport now keeps the start that it is told, and logs a change of it with the number of attempts that wait there; nothing else changes.

--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -147,6 +147,7 @@
 type server struct {
 	name         string
 	addr         netip.AddrPort
+	started      time.Duration // when its process started, since the Unix epoch; 0 if that is not known
 	identifiers  *ident.Pool
 	sockets      []*socket // nil for one that could not be opened
 	waitingCount int       // attempts that hold an identifier
@@ -169,7 +170,7 @@
 }
 
 // AddServer implements core.Transport.
-func (t *Transport) AddServer(name, address string, _ time.Duration) {
+func (t *Transport) AddServer(name, address string, started time.Duration) {
 	addr, err := netip.ParseAddrPort(address)
 	if err != nil {
 		slog.Warn("radius: server ignored: its address is not an IP address and a port", "server", name, "err", err)
@@ -179,12 +180,16 @@
 	defer t.mu.Unlock()
 	if s := t.servers[name]; s != nil {
 		if s.addr == addr {
+			if started != s.started {
+				slog.Info("radius: server has started again", "server", name, "attempts", s.waitingCount)
+				s.started = started
+			}
 			s.leftAt = time.Time{}
 			return
 		}
 		t.removeServer(s)
 	}
-	t.servers[name] = &server{name: name, addr: addr, identifiers: ident.New(t.cfg.MaxSocketsPerServer, t.cfg.LateAnswerTTL)}
+	t.servers[name] = &server{name: name, addr: addr, started: started, identifiers: ident.New(t.cfg.MaxSocketsPerServer, t.cfg.LateAnswerTTL)}
 }
 
 // RetireServer implements core.Transport.
