A transport is told the address and start of a server that drains

RetireServer gets both; nothing uses them yet, and no behaviour changes. Tests of core, upstream, the RADIUS transport and the plug-in pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,8 +133,10 @@
 	// AddServer sets a server's address and the time at which it last started.
 	AddServer(server, address string, started time.Duration)
 	// RetireServer reports that a server is draining or, with gone, has been removed. No attempt
-	// begins there after the drain grace period, not even one that was already queued.
-	RetireServer(server string, gone bool)
+	// begins there after the drain grace period, not even one that was already queued. The address
+	// and the time of the last start are as listed, and may be missing for a server that has been
+	// removed.
+	RetireServer(server, address string, started time.Duration, gone bool)
 	// RetainServers removes all servers except those listed.
 	RetainServers(listed map[string]bool)
 	// CloseIdle closes a server's idle connections.
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -398,7 +398,7 @@
 			if e.State == chalkrack.Serving {
 				h.transport.AddServer(e.Name, e.Address, e.Started)
 			} else {
-				h.transport.RetireServer(e.Name, e.State == chalkrack.Gone)
+				h.transport.RetireServer(e.Name, e.Address, e.Started, e.State == chalkrack.Gone)
 			}
 		}
 		if list.Complete {
--- a/internal/core/races_test.go
+++ b/internal/core/races_test.go
@@ -36,7 +36,7 @@
 
 func (m *memTransport) NewAttempt(o core.Order) core.Attempt                    { return &memAttempt{owner: m, order: o} }
 func (m *memTransport) AddServer(string, string, time.Duration)                 {}
-func (m *memTransport) RetireServer(string, bool)                               {}
+func (m *memTransport) RetireServer(string, string, time.Duration, bool)        {}
 func (m *memTransport) RetainServers(map[string]bool)                           {}
 func (m *memTransport) CloseIdle(string)                                        {}
 func (m *memTransport) Probe(string, time.Duration, func(chalkrack.LoadReport)) {}
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -193,7 +193,7 @@
 }
 
 // RetireServer implements core.Transport.
-func (t *Transport) RetireServer(name string, gone bool) {
+func (t *Transport) RetireServer(name, _ string, _ time.Duration, gone bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[name]
--- a/internal/radius/transport/virtual_test.go
+++ b/internal/radius/transport/virtual_test.go
@@ -242,7 +242,7 @@
 		})
 		transport.AddServer("r1", "127.0.0.2:1", 0)
 		_, outcomes := startAttempt(transport, accountingRequest())
-		transport.RetireServer("r1", false)
+		transport.RetireServer("r1", "127.0.0.2:1", 0, false)
 		time.Sleep(200 * time.Millisecond)
 		startAttempt(transport, accountingRequest()) // within the grace
 		if n := len(conn.packets()); n != 3 {
--- a/internal/upstream/address_test.go
+++ b/internal/upstream/address_test.go
@@ -20,14 +20,14 @@
 	}{
 		"no change":                   {func(*Pool, string) {}, chalkrack.OK},
 		"listed again":                {func(p *Pool, addr string) { p.AddServer("s", addr, 5) }, chalkrack.OK},
-		"gone":                        {func(p *Pool, addr string) { p.RetireServer("s", true) }, chalkrack.OK}, // within the grace
-		"gone, another one came":      {func(p *Pool, addr string) { p.RetireServer("s", true); p.AddServer("new", addr, 9) }, chalkrack.ConnectFailed},
-		"draining, another one came":  {func(p *Pool, addr string) { p.RetireServer("s", false); p.AddServer("new", addr, 9) }, chalkrack.ConnectFailed},
+		"gone":                        {func(p *Pool, addr string) { p.RetireServer("s", "", 0, true) }, chalkrack.OK}, // within the grace
+		"gone, another one came":      {func(p *Pool, addr string) { p.RetireServer("s", "", 0, true); p.AddServer("new", addr, 9) }, chalkrack.ConnectFailed},
+		"draining, another one came":  {func(p *Pool, addr string) { p.RetireServer("s", "", 0, false); p.AddServer("new", addr, 9) }, chalkrack.ConnectFailed},
 		"another one came":            {func(p *Pool, addr string) { p.AddServer("new", addr, 0) }, chalkrack.ConnectFailed},
 		"restarted":                   {func(p *Pool, addr string) { p.AddServer("s", addr, 9) }, chalkrack.ConnectFailed},
-		"gone, and came back":         {func(p *Pool, addr string) { p.RetireServer("s", true); p.AddServer("s", addr, 9) }, chalkrack.ConnectFailed},
+		"gone, and came back":         {func(p *Pool, addr string) { p.RetireServer("s", "", 0, true); p.AddServer("s", addr, 9) }, chalkrack.ConnectFailed},
 		"another one elsewhere":       {func(p *Pool, addr string) { p.AddServer("new", "127.0.0.1:1", 9) }, chalkrack.OK},
-		"another one came and went":   {func(p *Pool, addr string) { p.AddServer("new", addr, 9); p.RetireServer("new", true) }, chalkrack.OK},
+		"another one came and went":   {func(p *Pool, addr string) { p.AddServer("new", addr, 9); p.RetireServer("new", "", 0, true) }, chalkrack.OK},
 		"shares its address with one": {func(p *Pool, addr string) { p.AddServer("twin", addr, 5); p.AddServer("s", addr, 5) }, chalkrack.OK},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -189,8 +189,8 @@
 }
 
 // RetireServer records that a server is draining, or that it is gone, and closes the idle
-// connections to it.
-func (p *Pool) RetireServer(name string, gone bool) {
+// connections to it. A request is sent once, so the server's address and start don't matter here.
+func (p *Pool) RetireServer(name, _ string, _ time.Duration, gone bool) {
 	p.mu.Lock()
 	var toClose []*conn
 	if s := p.servers[name]; s != nil {
@@ -239,7 +239,7 @@
 	}
 	p.mu.Unlock()
 	for _, name := range unlisted {
-		p.RetireServer(name, true)
+		p.RetireServer(name, "", 0, true)
 	}
 }
 
--- a/internal/upstream/source_test.go
+++ b/internal/upstream/source_test.go
@@ -164,7 +164,7 @@
 		"it ends too early":     {nil, func(_ *Pool, _ *Attempt, s *pieceSource, _ chan string) { close(s.pieces) }, time.Minute, chalkrack.NotSent},
 		"it is too long":        {nil, func(_ *Pool, _ *Attempt, s *pieceSource, _ chan string) { s.pieces <- "123456789" }, time.Minute, chalkrack.NotSent},
 		"the server's grace ends": {nil, func(p *Pool, _ *Attempt, s *pieceSource, _ chan string) {
-			p.RetireServer("s", false)
+			p.RetireServer("s", "", 0, false)
 			time.Sleep(20 * time.Millisecond)
 			s.pieces <- "bc"
 		}, 10 * time.Millisecond, chalkrack.ConnectFailed},
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -326,7 +326,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.RetireServer("s", false)
+	p.RetireServer("s", "", 0, false)
 	time.Sleep(time.Millisecond)
 	a.dial(to) // returns when the connection is closed
 	if r := s.wait(t); r.outcome != chalkrack.ConnectFailed {
