RADIUS: nothing is sent again to a server's new process

Cause: the transport knew a server by name and address. AddServer dropped the start that discovery tells, so onTimer (and resume, for a parked attempt) went on sending the packet, which only the process that had read it recognizes as a duplicate. The same for a removed server within the drain grace, a server that moved, one that drains with another start, and another server at the address.

Change: a server in the transport is one process (internal/radius/transport/process.go). Another start makes another one, with sockets and identifiers of its own. A call that must not run twice is not sent again once its process is not the one that is listed. If the process has ended, its open attempts wait for an answer on its way no longer than for a resend, then end as Cancelled, so that the new process isn't blamed; parked ones are lost. A start of 0 says nothing; a removed server that is listed with the same start is taken up again. Calls that are safe to repeat are sent as before.

Why it works: the check stands in the one place from which a packet is sent again, under the lock under which the list is applied.

--- a/internal/radius/transport/attempt.go
+++ b/internal/radius/transport/attempt.go
@@ -17,14 +17,15 @@
 	request.mu.Lock()
 	request.transport = t
 	request.mu.Unlock()
-	return &attempt{transport: t, order: order, request: request}
+	return &attempt{transport: t, order: order, request: request, atMostOnce: order.AtMostOnce || request.Resumable}
 }
 
 // attempt implements core.Attempt.
 type attempt struct {
-	transport *Transport
-	order     core.Order
-	request   *Request
+	transport  *Transport
+	order      core.Order
+	request    *Request
+	atMostOnce bool // the request must not run twice
 
 	// The fields below are guarded by the Transport's lock.
 
@@ -124,9 +125,7 @@
 // resume takes over the packet, identifier and socket of a parked attempt of the same request. It
 // sends the packet again, or reports the late answer if there is one.
 func (a *attempt) resume(parked *attempt) {
-	t := a.transport
-	a.request.parked = nil
-	t.parkedCount--
+	parked.unpark()
 	a.server, a.socket, a.id, a.wire, a.hop, a.proxyState = parked.server, parked.socket, parked.id, parked.wire, parked.hop, parked.proxyState
 	a.packetsSent, a.packetsRefused = parked.packetsSent, parked.packetsRefused
 	parked.socket = nil
@@ -190,10 +189,7 @@
 	}
 	if time.Now().Before(a.timeoutAt) {
 		a.resends++
-		// A server that has left gets nothing after the grace period. A server whose port refused
-		// a packet after an earlier one of this attempt may have run the request and crashed: once
-		// restarted, it would not recognize another packet as a duplicate.
-		if !a.transport.graceOver(a.server) && !a.resendUnsafe {
+		if a.mayResend() {
 			a.send()
 		}
 		a.startTimer()
@@ -204,6 +200,14 @@
 	a.timeOut()
 }
 
+// mayResend reports whether the attempt's packet may be sent again. A server that has left gets nothing
+// after the grace period. A server whose port refused a packet after an earlier one of this attempt may
+// have run the request and crashed: once restarted, it would not recognize another packet as a
+// duplicate. Nor would another process at its address.
+func (a *attempt) mayResend() bool {
+	return !a.resendUnsafe && !(a.atMostOnce && a.server.removed) && !a.transport.graceOver(a.server)
+}
+
 // timeOut ends the attempt as timed out, unless it has ended. It takes the lock.
 func (a *attempt) timeOut() {
 	a.transport.mu.Lock()
@@ -212,9 +216,13 @@
 		return
 	}
 	a.ended = true
+	outcome := chalkrack.TimedOut
+	if a.atMostOnce && a.server.ended {
+		outcome = chalkrack.Cancelled // the process that took its place must not be blamed
+	}
 	a.releaseOrPark(false)
 	a.transport.mu.Unlock()
-	a.order.Sink.Done(chalkrack.TimedOut, nil, chalkrack.LoadReport{})
+	a.order.Sink.Done(outcome, nil, chalkrack.LoadReport{})
 }
 
 // releaseOrPark releases the attempt's identifier. If the client may retry the call and the server
@@ -228,7 +236,7 @@
 		a.timer.Stop()
 	}
 	if a.request.Resumable && !answered && a.packetsSent > a.packetsRefused {
-		if !a.resendUnsafe && a.request.parked == nil && a.transport.parkedCount < maxParked && !a.transport.closed {
+		if !a.resendUnsafe && !a.server.ended && a.request.parked == nil && a.transport.parkedCount < maxParked && !a.transport.closed {
 			a.request.parked = a
 			a.transport.parkedCount++
 			return
@@ -238,6 +246,14 @@
 	a.release(answered)
 }
 
+// unpark ends that the attempt is kept for a retry, if it is.
+func (a *attempt) unpark() {
+	if a.request.parked == a {
+		a.request.parked = nil
+		a.transport.parkedCount--
+	}
+}
+
 // maxParked is how many attempts are kept for calls that clients may retry. Further requests that
 // are given up are lost.
 const maxParked = 512
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -17,7 +17,7 @@
 package transport
 
 import (
-	"log/slog"
+	"iter"
 	"net/netip"
 	"sync"
 	"time"
@@ -70,9 +70,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r.lateAnswer = nil
 	if a := r.parked; a != nil {
-		r.parked, r.lateAnswer = nil, nil
-		t.parkedCount--
+		a.unpark()
 		a.release(false)
 	}
 }
@@ -143,16 +143,18 @@
 	wg          sync.WaitGroup
 }
 
-// server is a server at one address, with its sockets. It stays until no attempt waits on it.
+// server is one process of a server at one address, with its sockets. It stays until no attempt waits
+// on it.
 type server struct {
 	name         string
 	addr         netip.AddrPort
-	started      time.Duration // when its process started, since the Unix epoch; 0 if that is not known
+	started      time.Duration // since the Unix epoch; 0 if that is not known
 	identifiers  *ident.Pool
 	sockets      []*socket // nil for one that could not be opened
 	waitingCount int       // attempts that hold an identifier
 	leftAt       time.Time // when it was retired or removed; zero if it was not
-	removed      bool      // not listed any more, or listed at another address
+	removed      bool      // not listed any more; another process may be at its address
+	ended        bool      // the process is known to have ended; implies removed
 }
 
 // New returns a Transport without servers.
@@ -169,84 +171,6 @@
 	return t.counts
 }
 
-// AddServer implements core.Transport.
-func (t *Transport) AddServer(name, address string, started time.Duration) {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil {
-		slog.Warn("radius: server ignored: its address is not an IP address and a port", "server", name, "err", err)
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if s := t.servers[name]; s != nil {
-		if s.addr == addr {
-			if started != s.started {
-				slog.Info("radius: server has started again", "server", name, "attempts", s.waitingCount)
-				s.started = started
-			}
-			s.leftAt = time.Time{}
-			return
-		}
-		t.removeServer(s)
-	}
-	t.servers[name] = &server{name: name, addr: addr, started: started, identifiers: ident.New(t.cfg.MaxSocketsPerServer, t.cfg.LateAnswerTTL)}
-}
-
-// RetireServer implements core.Transport.
-func (t *Transport) RetireServer(name, _ string, _ time.Duration, gone bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.servers[name]
-	if s == nil {
-		return
-	}
-	if s.leftAt.IsZero() {
-		s.leftAt = time.Now()
-	}
-	if gone {
-		t.removeServer(s)
-	}
-}
-
-// RetainServers implements core.Transport.
-func (t *Transport) RetainServers(listed map[string]bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for name, s := range t.servers {
-		if !listed[name] {
-			if s.leftAt.IsZero() {
-				s.leftAt = time.Now()
-			}
-			t.removeServer(s)
-		}
-	}
-}
-
-// removeServer takes a server off the list. Its sockets stay open while attempts wait on them.
-func (t *Transport) removeServer(s *server) {
-	s.removed = true
-	if s.leftAt.IsZero() {
-		s.leftAt = time.Now()
-	}
-	delete(t.servers, s.name)
-	t.removed[s] = true
-	t.closeIfUnused(s)
-}
-
-// closeIfUnused closes the sockets of a removed server once no attempt waits on them.
-func (t *Transport) closeIfUnused(s *server) {
-	if !s.removed || s.waitingCount > 0 {
-		return
-	}
-	for _, sock := range s.sockets {
-		if sock != nil {
-			sock.conn.Close()
-		}
-	}
-	s.sockets = nil
-	delete(t.removed, s)
-}
-
 // CloseIdle implements core.Transport. It does nothing: idle UDP sockets cost a server nothing.
 func (t *Transport) CloseIdle(string) {}
 
@@ -279,17 +203,27 @@
 // collect appends the attempts that wait on a server to parked if they are kept for a retry, to
 // active otherwise.
 func (s *server) collect(active, parked *[]*attempt) {
-	for _, sock := range s.sockets {
-		if sock == nil {
-			continue
+	for a := range s.waitingAttempts() {
+		if a.request.parked == a {
+			*parked = append(*parked, a)
+		} else {
+			*active = append(*active, a)
 		}
-		for _, a := range sock.waiting {
-			switch {
-			case a == nil:
-			case a.request.parked == a:
-				*parked = append(*parked, a)
-			default:
-				*active = append(*active, a)
+	}
+}
+
+// waitingAttempts returns the attempts that hold an identifier of a server. They may be released while
+// the sequence is read.
+func (s *server) waitingAttempts() iter.Seq[*attempt] {
+	return func(yield func(*attempt) bool) {
+		for _, sock := range s.sockets {
+			if sock == nil {
+				continue
+			}
+			for _, a := range sock.waiting {
+				if a != nil && !yield(a) {
+					return
+				}
 			}
 		}
 	}
