RADIUS: a server with another one at its address stays in use

Fault of, found by the next test: endProcess read the time since which a server has left after removeServer had set it, so the server that took its place in the list was retired and got nothing after the drain grace, until it was listed again. Seen: a server that shares its address with a newer one sent nothing for a new event a minute later (TestServerWithAnotherOneAtItsAddressIsServed: "0 packets for a new event, want 1"). The time is read first now; the test passes.

--- a/internal/radius/transport/process.go
+++ b/internal/radius/transport/process.go
@@ -140,8 +140,9 @@
 		return
 	}
 	if !s.removed {
+		next := t.newServer(s.name, s.addr, s.started, s.leftAt)
 		t.removeServer(s)
-		t.servers[s.name] = t.newServer(s.name, s.addr, s.started, s.leftAt)
+		t.servers[s.name] = next
 	}
 	s.ended = true
 	latest := time.Now().Add(t.cfg.ResendDelay)
--- a/internal/radius/transport/process_test.go
+++ b/internal/radius/transport/process_test.go
@@ -266,3 +266,15 @@
 		}
 	})
 }
+
+// Of two servers that are listed at one address, the earlier one stays listed and gets new calls.
+func TestServerWithAnotherOneAtItsAddressIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, servers := newVirtualTransport(t)
+		startAttempt(transport, accountingRequest())
+		transport.AddServer("r2", serverAddr, 9*time.Second)
+		time.Sleep(time.Minute)
+		expectServed(t, transport, servers, "r1")
+		expectServed(t, transport, servers, "r2")
+	})
+}
