RADIUS: a refused port ends the process for every event that it may have counted

Another event that the process had counted was sent again to the next process; so was one whose refusal came after its call had been given up, as resume didn't look at the mark. Refusals of another realm, of access and of probes were known to their own transport only.

Change: a refusal ends the process in the transport (endProcess, as a new start does, but its open attempts keep their time, as before), for all servers at the address; OnPortRefused tells it to the other transports of the proxy. resendUnsafe is gone: the state is the process's. Attempts whose packets were all refused go elsewhere as before, and calls that are safe to repeat are sent again after a refusal too, where a partly refused one was not.

--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -225,6 +225,7 @@
 		AllowUnsignedAnswers: p.cfg.Radius.AllowUnsignedAnswers,
 		Grace:                p.cfg.DrainGrace,
 		Dial:                 p.cfg.Dial,
+		OnPortRefused:        p.portRefused,
 	}
 	callTransport := transport.New(transportConfig)
 	transportConfig.MaxSocketsPerServer, transportConfig.MaxResends = 1, 0
@@ -236,6 +237,16 @@
 	return &realmPool{host: host, transport: callTransport, probes: transport.New(transportConfig), health: newHealth(p.cfg.Radius.MaxProbeMisses)}, nil
 }
 
+// portRefused tells all transports that the port of a server has refused a packet or a probe: the realms
+// share servers, and access and accounting may be at one port.
+func (p *Proxy) portRefused(addr netip.AddrPort) {
+	for _, s := range p.services {
+		for _, pool := range s.pools {
+			pool.transport.PortRefused(addr)
+		}
+	}
+}
+
 // applyServers gives the core host the fixed list of servers. Servers that are down by their probes
 // are marked as draining; servers that came back have the time of their return as their start.
 // probeStart is the time at which probing started, since the Unix epoch. The caller holds p.mu or
--- a/internal/radius/proxy/server_restart_test.go
+++ b/internal/radius/proxy/server_restart_test.go
@@ -123,3 +123,68 @@
 		}
 	}
 }
+
+// A server counts an event, crashes before it answers and comes back at its address, and no discovery
+// tells that. Guards against sending the event to the new process where a refusal has shown the crash to
+// another call, also of another realm and of access, or to a probe.
+func TestRefusalShownToOthersProtectsEvent(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*features.Radius)
+		other  func(*testFixture) // sends the other call
+	}{
+		"an event": {nil, func(f *testFixture) {
+			client := f.newClient(true)
+			client.Send(client.Encode(eventRequest("other", 1), 9, [16]byte{}, 0))
+		}},
+		"an access call of another realm": {func(s *features.Radius) { s.Servers[0].Realms = []string{"", "shop.example"} }, func(f *testFixture) {
+			client := f.newClient(false)
+			client.Send(client.Encode(accessRequest("a@shop.example"), 9, [16]byte{}, 0))
+		}},
+		"a probe": {func(s *features.Radius) { s.ProbeInterval, s.MaxProbeMisses = millis(100), 100 }, func(*testFixture) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fixture := startProxy(t, 1, func(s *features.Radius) {
+				s.Accounting.ResendDelay, s.Accounting.AttemptTimeout = millis(2000), millis(4000)
+				if c.change != nil {
+					c.change(s)
+				}
+			})
+			fixture.setScripts(alwaysDo(standin.RadiusSilent))
+			client, server := fixture.newClient(true), fixture.servers[0]
+			sent := func(id byte) []byte { return client.Encode(eventRequest("s1", 1), id, [16]byte{}, 0) }
+			client.Send(sent(1))
+			waitUntil(t, "the event was not counted", func() bool { return fixture.ledger.Count(eventName("s1", 1)).Effects > 0 })
+			server.Kill()
+			c.other(fixture)
+			waitUntil(t, "nothing was refused", func() bool { return fixture.refusals() > 0 })
+			if err := server.Restart(); err != nil {
+				t.Fatal(err)
+			}
+			server.SetScript(alwaysDo(standin.RadiusAccept))
+			waitUntil(t, "the call has no end", func() bool { return fixture.proxy.Held() == 0 })
+			waitUntil(t, "the new process serves nothing", func() bool {
+				request := eventRequest("s2", 1)
+				request.ResendInterval = 200 * time.Millisecond
+				return fixture.newClient(true).Do(request).Code == lr.CodeAccountingResponse
+			})
+			for id := range byte(3) { // the terminal's retries
+				client.Exchange(sent(100+id), 50*time.Millisecond)
+			}
+			waitUntil(t, "a retry has no end", func() bool { return fixture.proxy.Held() == 0 })
+			if c := fixture.ledger.Count(eventName("s1", 1)); c.Effects != 1 || c.Packets != 1 {
+				t.Errorf("%+v, want one packet that is counted once", c)
+			}
+		})
+	}
+}
+
+// refusals returns how many packets and probes the servers' ports have refused.
+func (f *testFixture) refusals() (packets int64) {
+	for _, s := range f.proxy.services {
+		for _, pool := range s.pools {
+			packets += pool.transport.Counts().Refusals + pool.probes.Counts().Refusals
+		}
+	}
+	return packets
+}
--- a/internal/radius/transport/attempt.go
+++ b/internal/radius/transport/attempt.go
@@ -36,11 +36,11 @@
 	hop            radius.Hop // between proxy and server
 	proxyState     []byte     // the Proxy-State that the packet carries
 	packetsSent    int
-	packetsRefused int  // part of packetsSent that the server's port refused
-	resendUnsafe   bool // the port was refused after a packet that the server may have read
-	resends        int  // how often a resend was due, also if it was left out
+	packetsRefused int // part of packetsSent that the server's port refused
+	resends        int // how often a resend was due, also if it was left out
 	startedAt      time.Time
 	timeoutAt      time.Time
+	timeoutOutcome chalkrack.Outcome // at that time
 	timer          *time.Timer
 	ended          bool // abandoned, or its outcome was reported
 	answered       bool
@@ -145,7 +145,7 @@
 
 // setTimeout sets the time at which the attempt times out, no later than the call's deadline.
 func (a *attempt) setTimeout() {
-	a.timeoutAt = a.startedAt.Add(a.transport.cfg.AttemptTimeout)
+	a.timeoutAt, a.timeoutOutcome = a.startedAt.Add(a.transport.cfg.AttemptTimeout), chalkrack.TimedOut
 	if !a.order.Deadline.IsZero() && a.order.Deadline.Before(a.timeoutAt) {
 		a.timeoutAt = a.order.Deadline
 	}
@@ -201,13 +201,15 @@
 }
 
 // mayResend reports whether the attempt's packet may be sent again. A server that has left gets nothing
-// after the grace period. A server whose port refused a packet after an earlier one of this attempt may
-// have run the request and crashed: once restarted, it would not recognize another packet as a
-// duplicate. Nor would another process at its address.
+// after the grace period. Another process at the server's address would not recognize the packet as a
+// duplicate.
 func (a *attempt) mayResend() bool {
-	return !a.resendUnsafe && !(a.atMostOnce && a.server.removed) && !a.transport.graceOver(a.server)
+	return !(a.atMostOnce && a.server.removed) && !a.transport.graceOver(a.server)
 }
 
+// mayHaveRun reports whether the server may have run the request: not all packets sent were refused.
+func (a *attempt) mayHaveRun() bool { return a.packetsSent > a.packetsRefused }
+
 // timeOut ends the attempt as timed out, unless it has ended. It takes the lock.
 func (a *attempt) timeOut() {
 	a.transport.mu.Lock()
@@ -216,10 +218,7 @@
 		return
 	}
 	a.ended = true
-	outcome := chalkrack.TimedOut
-	if a.atMostOnce && a.server.ended {
-		outcome = chalkrack.Cancelled // the process that took its place must not be blamed
-	}
+	outcome := a.timeoutOutcome
 	a.releaseOrPark(false)
 	a.transport.mu.Unlock()
 	a.order.Sink.Done(outcome, nil, chalkrack.LoadReport{})
@@ -235,8 +234,8 @@
 	if a.timer != nil {
 		a.timer.Stop()
 	}
-	if a.request.Resumable && !answered && a.packetsSent > a.packetsRefused {
-		if !a.resendUnsafe && !a.server.ended && a.request.parked == nil && a.transport.parkedCount < maxParked && !a.transport.closed {
+	if a.request.Resumable && !answered && a.mayHaveRun() {
+		if !a.server.ended && a.request.parked == nil && a.transport.parkedCount < maxParked && !a.transport.closed {
 			a.request.parked = a
 			a.transport.parkedCount++
 			return
@@ -275,7 +274,7 @@
 	a.transport.mu.Lock()
 	defer a.transport.mu.Unlock()
 	a.ended = true
-	return a.packetsSent > a.packetsRefused
+	return a.mayHaveRun()
 }
 
 // CancelUnsent implements core.Attempt.
@@ -315,8 +314,7 @@
 // countRefusal counts the refusal of a packet. Once all packets of the attempt were refused, the
 // server can't have run the request: the attempt ends, and finished is true.
 func (a *attempt) countRefusal() (finished bool) {
-	if a.packetsRefused++; a.packetsRefused < a.packetsSent || a.ended {
-		a.resendUnsafe = true
+	if a.packetsRefused++; a.mayHaveRun() || a.ended {
 		return false
 	}
 	a.ended = true
--- a/internal/radius/transport/process.go
+++ b/internal/radius/transport/process.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"chalkrack"
 	"chalkrack/internal/radius/ident"
 )
 
@@ -110,31 +111,56 @@
 		}
 		return s.addr == listed.addr
 	}
-	t.endProcesses(isReplaced)
+	for _, s := range t.busyServers(isReplaced) {
+		t.endProcess(s)
+		t.limitWaits(s)
+	}
+}
+
+// PortRefused records that the port at an address has refused a packet: the processes that were there
+// have ended. It takes the lock.
+func (t *Transport) PortRefused(addr netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.portRefused(addr)
 }
 
-// endProcesses ends the processes of the servers that a function chooses, listed or removed, if attempts
-// wait there.
-func (t *Transport) endProcesses(isChosen func(*server) bool) {
-	var chosen []*server
+func (t *Transport) portRefused(addr netip.AddrPort) {
+	for _, s := range t.busyServers(func(s *server) bool { return s.addr == addr && s.mayHaveRunCalls() }) {
+		t.endProcess(s)
+	}
+}
+
+// busyServers returns those of the servers that a function chooses, listed or removed, on which attempts
+// wait.
+func (t *Transport) busyServers(isChosen func(*server) bool) (busy []*server) {
 	for s := range t.removed {
 		if isChosen(s) {
-			chosen = append(chosen, s)
+			busy = append(busy, s)
 		}
 	}
 	for _, s := range t.servers {
-		if isChosen(s) && s.waitingCount > 0 {
-			chosen = append(chosen, s)
+		if s.waitingCount > 0 && isChosen(s) {
+			busy = append(busy, s)
 		}
 	}
-	for _, s := range chosen {
-		t.endProcess(s)
+	return busy
+}
+
+// mayHaveRunCalls reports whether a call that must not run twice may have run at the server and has no
+// answer.
+func (s *server) mayHaveRunCalls() bool {
+	for a := range s.waitingAttempts() {
+		if a.atMostOnce && a.mayHaveRun() {
+			return true
+		}
 	}
+	return false
 }
 
 // endProcess records that a server's process has ended. If it is listed, what is sent there from now on
-// goes to another process, for all that is known. Its open attempts wait on for an answer that may be on
-// its way, no longer than for a resend; parked ones are lost.
+// goes to another process, for all that is known. Its open attempts wait on, as an answer may be on its
+// way; parked ones that may have run are lost.
 func (t *Transport) endProcess(s *server) {
 	if s.ended {
 		return
@@ -145,25 +171,34 @@
 		t.servers[s.name] = next
 	}
 	s.ended = true
-	latest := time.Now().Add(t.cfg.ResendDelay)
-	open, lost := 0, 0
+	open, parked := 0, 0
 	for a := range s.waitingAttempts() {
 		switch {
 		case a.request.parked == a:
-			lost++
+			parked++
 			a.unpark()
 			a.request.markLost()
 			a.release(false)
-		case a.atMostOnce && !a.ended && latest.Before(a.timeoutAt):
+		case a.atMostOnce && !a.ended:
 			open++
-			a.timeoutAt = latest
+		}
+	}
+	if open+parked > 0 {
+		slog.Warn("radius: a server's process has ended: calls that it may have run are not sent again", "server", s.name, "address", s.addr, "open", open, "given_up", parked)
+	}
+}
+
+// limitWaits ends the open attempts of an ended process soon, when another one has taken its place: they
+// wait for an answer on its way no longer than for a resend, and the new process isn't blamed for them.
+func (t *Transport) limitWaits(s *server) {
+	latest := time.Now().Add(t.cfg.ResendDelay)
+	for a := range s.waitingAttempts() {
+		if a.atMostOnce && !a.ended && latest.Before(a.timeoutAt) {
+			a.timeoutAt, a.timeoutOutcome = latest, chalkrack.Cancelled
 			a.timer.Stop()
 			a.startTimer()
 		}
 	}
-	if open+lost > 0 {
-		slog.Warn("radius: a server's process has ended: calls that it may have run are not sent again", "server", s.name, "address", s.addr, "open", open, "given_up", lost)
-	}
 }
 
 // removeServer takes a server off the list. Its sockets stay open while attempts wait on them.
--- a/internal/radius/transport/socket.go
+++ b/internal/radius/transport/socket.go
@@ -79,11 +79,20 @@
 	if len(packet) < 20 {
 		return // the attempt can't be identified without the whole header
 	}
-	s.transport.mu.Lock()
-	s.transport.counts.Refusals++
+	t := s.transport
+	t.mu.Lock()
+	t.counts.Refusals++
 	a := s.waiting[packet[1]]
-	finished := a != nil && string(packet[:20]) == string(a.wire[:20]) && a.countRefusal()
-	s.transport.mu.Unlock()
+	if a == nil || string(packet[:20]) != string(a.wire[:20]) {
+		t.mu.Unlock()
+		return
+	}
+	finished := a.countRefusal()
+	t.portRefused(s.server.addr)
+	t.mu.Unlock()
+	if t.cfg.OnPortRefused != nil {
+		t.cfg.OnPortRefused(s.server.addr)
+	}
 	if finished {
 		a.order.Sink.Done(chalkrack.ConnectFailed, nil, chalkrack.LoadReport{})
 	}
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -40,6 +40,9 @@
 	AllowUnsignedAnswers bool
 	Grace                time.Duration                      // how long a retired server still gets packets
 	Dial                 func(netip.AddrPort) (Conn, error) // opens a Conn to a server; Dial (UDP) if nil
+	// OnPortRefused is called, without the lock, with the address of a server whose port has refused a
+	// packet of this Transport. It may be nil.
+	OnPortRefused func(netip.AddrPort)
 }
 
 // Request is the payload of a call: the client's request, and the hop between client and proxy.
