RADIUS: a server that misses its probes gets no event a second time

Its open events went on being sent within the drain grace after the probes had taken it out of service, also to the process that came up in its place before the next probe told its return.

Change: Transport.Suspect, called when the probes take a server out of service: nothing that it may have run is sent again. Its attempts keep their time and late answers are passed on, since a server that misses probes may be slow or cut off as well.

Before: TestEventIsNotSentToServerThatWasDown fails, twice in two runs ("{Packets:2 Attempts:2 Effects:2}, want one that is counted once"). After: it passes 10 times on two cores under the race detector, as does TestSuspectedServerMayStillAnswer.

--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -293,6 +293,9 @@
 			defer pool.mu.Unlock()
 			if pool.health.recordProbe(server, time.Since(start), ok) {
 				slog.Warn("radius: server by its probes", "side", service.name, "server", server, "answers", ok)
+				if !ok {
+					pool.transport.Suspect(server)
+				}
 				pool.applyServers(startUnix)
 			}
 		}}
--- a/internal/radius/proxy/server_restart_test.go
+++ b/internal/radius/proxy/server_restart_test.go
@@ -179,6 +179,44 @@
 	}
 }
 
+// A server counts an event and goes down with its machine: no port refuses anything, only the probes
+// notice. Guards against sending the event to the process that comes up later at its address.
+func TestEventIsNotSentToServerThatWasDown(t *testing.T) {
+	t.Parallel()
+	fixture := startProxy(t, 1, func(s *features.Radius) {
+		// The resend comes between a missed probe (2.5 to 3.5 s) and the one after it.
+		s.ProbeInterval, s.MaxProbeMisses = millis(2500), 1
+		s.Accounting.ResendDelay, s.Accounting.AttemptTimeout = millis(4200), millis(6000)
+	})
+	fixture.setScripts(alwaysDo(standin.RadiusSilent))
+	client, server := fixture.newClient(true), fixture.servers[0]
+	client.Send(client.Encode(eventRequest("s1", 1), 1, [16]byte{}, 0))
+	waitUntil(t, "the event was not counted", func() bool { return fixture.ledger.Count(eventName("s1", 1)).Effects > 0 })
+	isDown := func() bool {
+		pool := fixture.proxy.services[1].pools[""]
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		down, _ := pool.health.status("r1")
+		return down
+	}
+	server.SetFrozen(true)
+	waitUntil(t, "the probes do not notice that the server is down", isDown)
+	if err := server.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	server.SetScript(alwaysDo(standin.RadiusAccept))
+	server.SetFrozen(false)
+	waitUntil(t, "the call has no end", func() bool { return fixture.proxy.Held() == 0 })
+	waitUntil(t, "the new process serves nothing", func() bool {
+		request := eventRequest("s2", 1)
+		request.ResendInterval = 200 * time.Millisecond
+		return fixture.newClient(true).Do(request).Code == lr.CodeAccountingResponse
+	})
+	if c := fixture.ledger.Count(eventName("s1", 1)); c.Effects != 1 {
+		t.Errorf("%+v, want one that is counted once", c)
+	}
+}
+
 // refusals returns how many packets and probes the servers' ports have refused.
 func (f *testFixture) refusals() (packets int64) {
 	for _, s := range f.proxy.services {
--- a/internal/radius/transport/process.go
+++ b/internal/radius/transport/process.go
@@ -131,6 +131,25 @@
 	}
 }
 
+// Suspect records that the process of a server may have ended, since it doesn't answer probes. What it
+// may have run is not sent again; its attempts wait on, as it may also be slow or cut off.
+func (t *Transport) Suspect(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.servers[name]; s != nil && s.mayHaveRunCalls() {
+		t.separate(s)
+		slog.Warn("radius: a server doesn't answer probes: calls that it may have run are not sent again", "server", s.name, "address", s.addr)
+	}
+}
+
+// separate removes a listed server and lists a new one in its place: what is sent there from now on goes
+// to another process, for all that is known.
+func (t *Transport) separate(s *server) {
+	next := t.newServer(s.name, s.addr, s.started, s.leftAt)
+	t.removeServer(s)
+	t.servers[s.name] = next
+}
+
 // busyServers returns those of the servers that a function chooses, listed or removed, on which attempts
 // wait.
 func (t *Transport) busyServers(isChosen func(*server) bool) (busy []*server) {
@@ -158,17 +177,14 @@
 	return false
 }
 
-// endProcess records that a server's process has ended. If it is listed, what is sent there from now on
-// goes to another process, for all that is known. Its open attempts wait on, as an answer may be on its
-// way; parked ones that may have run are lost.
+// endProcess records that a server's process has ended. Its open attempts wait on, as an answer may be on
+// its way; parked ones that may have run are lost.
 func (t *Transport) endProcess(s *server) {
 	if s.ended {
 		return
 	}
 	if !s.removed {
-		next := t.newServer(s.name, s.addr, s.started, s.leftAt)
-		t.removeServer(s)
-		t.servers[s.name] = next
+		t.separate(s)
 	}
 	s.ended = true
 	open, parked := 0, 0
--- a/internal/radius/transport/process_test.go
+++ b/internal/radius/transport/process_test.go
@@ -278,3 +278,23 @@
 		expectServed(t, transport, servers, "r2")
 	})
 }
+
+// A server that doesn't answer probes may have been replaced, or be slow: nothing is sent again, and a
+// late answer is passed on.
+func TestSuspectedServerMayStillAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, servers := newVirtualTransport(t)
+		attempt, outcomes := startAttempt(transport, accountingRequest())
+		transport.Suspect("r1")
+		transport.RetireServer("r1", serverAddr, 5*time.Second, false)
+		time.Sleep(5 * time.Second)
+		if sent := servers.packets(); sent != 1 {
+			t.Errorf("%d packets, want none after the first", sent)
+		}
+		servers.answerLast(t, servers.conns[0])
+		outcomes.expectOutcome(t, "answered", chalkrack.OK)
+		attempt.Close()
+		transport.AddServer("r1", serverAddr, 9*time.Second)
+		expectServed(t, transport, servers, "r1")
+	})
+}
