RADIUS: an event that may have run never goes out in a new packet

When a call's deadline ends its attempt, the core abandons the attempt under its lock and closes it after that. An answer that came in between released the attempt and was dropped: the terminal's retry found neither a parked attempt nor a late answer, and the event went out in a new packet, which the server counts a second time. The same for a retry that comes before the attempt is closed.

Change: an answer to an attempt whose call was given up is kept for the retry, whether the attempt is parked yet or not; it gives the identifier and the place back. An attempt for a request that may have run is sent only as the resumption of the first one (the third case in tryStart).

Before: TestAnswerAtDeadlineIsKeptForRetry ("8 packets, answer <nil>; want one packet and the answer"), TestLateAnswerHoldsNoIdentifier and TestRetryBeforeAttemptIsPutAside fail. After: they pass, as does the package, three times under the race detector.

--- a/internal/radius/transport/attempt.go
+++ b/internal/radius/transport/attempt.go
@@ -71,14 +71,17 @@
 		a.ended = true
 		return chalkrack.ConnectFailed, true
 	}
-	if p := a.request.parked; p != nil {
-		// A server at another address would not recognize the packet as a duplicate.
-		if p.server != s && a.request.lateAnswer == nil {
-			a.ended = true
-			return chalkrack.NotSent, true
-		}
-		a.resume(p)
+	switch parked := a.request.parked; {
+	case a.request.lateAnswer != nil:
+		a.takeLateAnswer()
 		return 0, false
+	case parked != nil && parked.server == s:
+		a.resume(parked)
+		return 0, false
+	case parked != nil || a.request.Resumable && a.request.SentTo() != "":
+		// It may have run, and only the process that has the first packet recognizes it as a duplicate.
+		a.ended = true
+		return chalkrack.NotSent, true
 	}
 	id, opened, ok := s.identifiers.Acquire(t.now())
 	if !ok {
@@ -122,8 +125,17 @@
 	return 0, false
 }
 
-// resume takes over the packet, identifier and socket of a parked attempt of the same request. It
-// sends the packet again, or reports the late answer if there is one.
+// takeLateAnswer ends the attempt with the answer that came after the request's earlier call was given
+// up.
+func (a *attempt) takeLateAnswer() {
+	answer := a.request.lateAnswer
+	a.request.lateAnswer = nil
+	a.ended, a.answered = true, true
+	go a.order.Sink.Done(chalkrack.OK, answer, chalkrack.LoadReport{}) // which may call the Transport
+}
+
+// resume takes over the packet, identifier and socket of a parked attempt of the same request, and
+// sends the packet again.
 func (a *attempt) resume(parked *attempt) {
 	parked.unpark()
 	a.server, a.socket, a.id, a.wire, a.hop, a.proxyState = parked.server, parked.socket, parked.id, parked.wire, parked.hop, parked.proxyState
@@ -132,13 +144,6 @@
 	a.socket.waiting[a.id.Number] = a
 	a.startedAt = time.Now()
 	a.setTimeout()
-	if answer := a.request.lateAnswer; answer != nil {
-		a.request.lateAnswer = nil
-		a.ended, a.answered = true, true
-		a.release(true)
-		go a.order.Sink.Done(chalkrack.OK, answer, chalkrack.LoadReport{})
-		return
-	}
 	a.send()
 	a.startTimer()
 }
--- a/internal/radius/transport/socket.go
+++ b/internal/radius/transport/socket.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// handleDatagram reports a verified answer to the attempt that waits for it, and keeps one for a
-// parked attempt for the retry of its call. It drops all other datagrams.
+// handleDatagram reports a verified answer to the attempt that waits for it. If the attempt's call was
+// given up, it keeps the answer for the retry. It drops all other datagrams.
 func (s *socket) handleDatagram(datagram []byte) {
 	t := s.transport
 	p, err := radius.Parse(datagram)
@@ -128,18 +128,15 @@
 		slog.Warn("radius: can't translate the answer for the client", "server", s.server.name, "err", err)
 	}
 	t.counts.Answers++
-	if a.request.parked == a { // its call was given up, and the client may retry it
-		if err == nil {
-			a.request.lateAnswer = &Answer{translated, s.server.name}
-		}
-		t.mu.Unlock()
-		return
-	}
 	alreadyEnded := a.ended
 	a.ended, a.answered = true, true
+	a.unpark()
 	a.releaseOrPark(true)
-	if err != nil {
+	switch {
+	case err != nil:
 		a.request.markLost() // the server has run it, so it must not be sent again
+	case alreadyEnded && a.request.Resumable: // its call was given up, and the client may retry it
+		a.request.lateAnswer = &Answer{translated, s.server.name}
 	}
 	t.mu.Unlock()
 	switch {
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -59,7 +59,7 @@
 	sentTo     string     // see SentTo
 	lost       bool       // see IsLost
 	parked     *attempt   // attempt kept for a retry; guarded by the Transport's lock
-	lateAnswer *Answer    // answer to the parked attempt; guarded by the Transport's lock
+	lateAnswer *Answer    // that came after the call was given up; guarded by the Transport's lock
 }
 
 // Forget frees the attempt and the answer that are kept for a retry. It is called when the client
