RADIUS: the start of an attempt in short functions

tryStart had grown to some sixty lines, and the first packet's sending stood twice (there and in resume). Choosing what may be sent, taking an identifier and a socket, and beginning are functions of their own now (startOn, socketAt, begin). No behaviour changes but one: a socket that can't be opened is tried once for an attempt, not twice. The package's tests pass under the race detector.

--- a/internal/radius/transport/attempt.go
+++ b/internal/radius/transport/attempt.go
@@ -83,46 +83,56 @@
 		a.ended = true
 		return chalkrack.NotSent, true
 	}
+	if !a.startOn(s, secret) {
+		a.ended = true
+		return chalkrack.NotSent, true
+	}
+	return 0, false
+}
+
+// startOn sends the first packet of a request to a server. It returns false if there is no identifier, no
+// socket or no way to translate the request.
+func (a *attempt) startOn(s *server, secret []byte) bool {
+	t := a.transport
 	id, opened, ok := s.identifiers.Acquire(t.now())
 	if !ok {
 		t.counts.NoIdentifier++
-		a.ended = true
-		return chalkrack.NotSent, true
+		return false
 	}
 	if opened {
-		sock, err := t.openSocket(s)
-		if err != nil {
-			slog.Warn("radius: can't open a socket to the server", "server", s.name, "err", err)
-		}
-		s.sockets = append(s.sockets, sock) // nil after an error: opened again below, or by a later attempt
+		s.sockets = append(s.sockets, nil)
 	}
-	sock := s.sockets[id.Socket]
-	if sock == nil {
-		if sock, _ = t.openSocket(s); sock == nil {
-			s.identifiers.Release(t.now(), id, false)
-			a.ended = true
-			return chalkrack.NotSent, true
+	sock, err := t.socketAt(s, id.Socket)
+	if err != nil {
+		if opened {
+			slog.Warn("radius: can't open a socket to the server", "server", s.name, "err", err)
 		}
-		s.sockets[id.Socket] = sock
+		s.identifiers.Release(t.now(), id, false)
+		return false
 	}
 	var authenticator radius.Authenticator
 	rand.Read(authenticator[:])
-	a.proxyState = make([]byte, proxyStateBytes)
-	rand.Read(a.proxyState)
-	p, hop, err := radius.ForwardRequest(a.request.Packet, a.request.ClientHop, secret, id.Number, authenticator, a.proxyState)
+	proxyState := make([]byte, proxyStateBytes)
+	rand.Read(proxyState)
+	p, hop, err := radius.ForwardRequest(a.request.Packet, a.request.ClientHop, secret, id.Number, authenticator, proxyState)
 	if err != nil {
 		slog.Info("radius: can't translate the request for the server", "err", err)
 		s.identifiers.Release(t.now(), id, true)
-		a.ended = true
-		return chalkrack.NotSent, true
+		return false
 	}
-	a.server, a.socket, a.id, a.wire, a.hop, a.startedAt = s, sock, id, p.Marshal(), hop, time.Now()
-	a.setTimeout()
-	sock.waiting[id.Number] = a
+	a.server, a.socket, a.id, a.wire, a.hop, a.proxyState = s, sock, id, p.Marshal(), hop, proxyState
 	s.waitingCount++
+	a.begin()
+	return true
+}
+
+// begin sends the attempt's packet and starts to wait for its answer.
+func (a *attempt) begin() {
+	a.socket.waiting[a.id.Number] = a
+	a.startedAt = time.Now()
+	a.setTimeout()
 	a.send()
 	a.startTimer()
-	return 0, false
 }
 
 // takeLateAnswer ends the attempt with the answer that came after the request's earlier call was given
@@ -141,11 +151,7 @@
 	a.server, a.socket, a.id, a.wire, a.hop, a.proxyState = parked.server, parked.socket, parked.id, parked.wire, parked.hop, parked.proxyState
 	a.packetsSent, a.packetsRefused = parked.packetsSent, parked.packetsRefused
 	parked.socket = nil
-	a.socket.waiting[a.id.Number] = a
-	a.startedAt = time.Now()
-	a.setTimeout()
-	a.send()
-	a.startTimer()
+	a.begin()
 }
 
 // setTimeout sets the time at which the attempt times out, no later than the call's deadline.
--- a/internal/radius/transport/socket.go
+++ b/internal/radius/transport/socket.go
@@ -30,6 +30,18 @@
 	waiting   [256]*attempt // by identifier; guarded by the Transport's lock
 }
 
+// socketAt returns the socket of a server with the given index, and opens it if it is not open.
+func (t *Transport) socketAt(s *server, index int) (*socket, error) {
+	if s.sockets[index] == nil {
+		sock, err := t.openSocket(s)
+		if err != nil {
+			return nil, err
+		}
+		s.sockets[index] = sock
+	}
+	return s.sockets[index], nil
+}
+
 // openSocket opens a socket to a server and starts reading from it.
 func (t *Transport) openSocket(s *server) (*socket, error) {
 	dial := t.cfg.Dial
