RADIUS: an overdue resend waits until the news have been read

When it goes on, the resend that fell due in the meantime went out before the news were read.

Change: a resend whose timer runs more than 5 ms late waits once for 100 ms, so that what has come is read first. Calls that are safe to repeat don't wait. TestOverdueResendWaitsForNews forces the order; it passes three times under the race detector, as does the package.

--- a/internal/radius/transport/attempt.go
+++ b/internal/radius/transport/attempt.go
@@ -42,6 +42,8 @@
 	timeoutAt      time.Time
 	timeoutOutcome chalkrack.Outcome // at that time
 	timer          *time.Timer
+	timerDueAt     time.Time
+	isPostponed    bool // the resend that is due has been postponed
 	ended          bool // abandoned, or its outcome was reported
 	answered       bool
 }
@@ -188,7 +190,31 @@
 	if a.resends < a.transport.cfg.MaxResends {
 		wait = min(wait, a.transport.cfg.ResendDelay<<min(a.resends, maxResendDoublings))
 	}
-	a.timer = time.AfterFunc(max(wait, 0), a.onTimer)
+	a.isPostponed = false
+	a.setTimer(max(wait, 0))
+}
+
+func (a *attempt) setTimer(wait time.Duration) {
+	a.timerDueAt = time.Now().Add(wait)
+	a.timer = time.AfterFunc(wait, a.onTimer)
+}
+
+const (
+	// maxTimerDelay is how late a timer may run before the process counts as held up.
+	maxTimerDelay = 5 * time.Millisecond
+	// newsDelay is how long a resend waits after the process was held up, so that what has come in the
+	// meantime is read first: discovery may have told that the server's process is another one.
+	newsDelay = 100 * time.Millisecond
+)
+
+// postponeOverdue postpones a resend, once, if its timer runs late.
+func (a *attempt) postponeOverdue() (postponed bool) {
+	if !a.atMostOnce || a.isPostponed || time.Since(a.timerDueAt) <= maxTimerDelay {
+		return false
+	}
+	a.isPostponed = true
+	a.setTimer(min(newsDelay, time.Until(a.timeoutAt)))
+	return true
 }
 
 // onTimer sends the packet again, or ends the attempt if it has timed out. It takes the lock.
@@ -199,6 +225,10 @@
 		return
 	}
 	if time.Now().Before(a.timeoutAt) {
+		if a.postponeOverdue() {
+			a.transport.mu.Unlock()
+			return
+		}
 		a.resends++
 		if a.mayResend() {
 			a.send()
--- a/internal/radius/transport/process_test.go
+++ b/internal/radius/transport/process_test.go
@@ -298,3 +298,30 @@
 		expectServed(t, transport, servers, "r1")
 	})
 }
+
+// A process that was stopped gets the news of the time in which it stood and the timers that became due
+// at one moment. Guards against sending a packet again before the news of another process is read.
+func TestOverdueResendWaitsForNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, isTold := range map[string]bool{"another process is told": true, "nothing is told": false} {
+			transport, servers := newVirtualTransport(t)
+			started, _ := startAttempt(transport, accountingRequest())
+			overdue := started.(*attempt)
+			transport.mu.Lock()
+			overdue.timer.Stop()
+			overdue.timerDueAt = time.Now().Add(-time.Second)
+			transport.mu.Unlock()
+			overdue.onTimer()
+			if sent := servers.packets(); sent != 1 {
+				t.Errorf("%s: %d packets at once, want none after the first", name, sent)
+			}
+			if isTold {
+				transport.AddServer("r1", serverAddr, 9*time.Second)
+			}
+			time.Sleep(newsDelay + time.Millisecond)
+			if sent := servers.packets(); sent > 1 == isTold {
+				t.Errorf("%s: %d packets after the wait", name, sent)
+			}
+		}
+	})
+}
