RADIUS: the retry of an event waits until the news have been read

The other sender of a packet that goes out again, after the overdue resend: a terminal's retry that is read before discovery's line, though both came while the sidecar was held up, resumed the parked attempt at once, at whatever process is there. The packet waits 100 ms now (less where resends or the deadline are shorter), and isn't sent if another process is told in that time.

Before: TestRetryWaitsForNews fails ("1 packets by the retry, lost: true; want none and true"). After: it passes; the package passes 20 times under the race detector, internal/radius/proxy once. Not played with processes.

--- a/internal/radius/transport/attempt.go
+++ b/internal/radius/transport/attempt.go
@@ -43,9 +43,12 @@
 	timeoutOutcome chalkrack.Outcome // at that time
 	timer          *time.Timer
 	timerDueAt     time.Time
-	isPostponed    bool // the resend that is due has been postponed
+	isPostponed    bool // the packet that is due has been postponed
 	ended          bool // abandoned, or its outcome was reported
 	answered       bool
+
+	// isResumptionDue says that the packet that is due is the first one of a resumed attempt.
+	isResumptionDue bool
 }
 
 // proxyStateBytes is the length of the Proxy-State that an attempt adds.
@@ -124,17 +127,17 @@
 	}
 	a.server, a.socket, a.id, a.wire, a.hop, a.proxyState = s, sock, id, p.Marshal(), hop, proxyState
 	s.waitingCount++
-	a.begin()
+	a.beginWaiting()
+	a.send()
+	a.startTimer()
 	return true
 }
 
-// begin sends the attempt's packet and starts to wait for its answer.
-func (a *attempt) begin() {
+// beginWaiting starts to wait for the attempt's answer.
+func (a *attempt) beginWaiting() {
 	a.socket.waiting[a.id.Number] = a
 	a.startedAt = time.Now()
 	a.setTimeout()
-	a.send()
-	a.startTimer()
 }
 
 // takeLateAnswer ends the attempt with the answer that came after the request's earlier call was given
@@ -146,14 +149,17 @@
 	go a.order.Sink.Done(chalkrack.OK, answer, chalkrack.LoadReport{}) // which may call the Transport
 }
 
-// resume takes over the packet, identifier and socket of a parked attempt of the same request, and
-// sends the packet again.
+// resume takes over the packet, identifier and socket of a parked attempt of the same request. It sends
+// the packet again after newsDelay: the process may have been held up while the client's retry and news
+// of the server came.
 func (a *attempt) resume(parked *attempt) {
 	parked.unpark()
 	a.server, a.socket, a.id, a.wire, a.hop, a.proxyState = parked.server, parked.socket, parked.id, parked.wire, parked.hop, parked.proxyState
 	a.packetsSent, a.packetsRefused = parked.packetsSent, parked.packetsRefused
 	parked.socket = nil
-	a.begin()
+	a.beginWaiting()
+	a.isResumptionDue = true
+	a.setTimer(a.newsDelay())
 }
 
 // setTimeout sets the time at which the attempt times out, no later than the call's deadline.
@@ -202,18 +208,24 @@
 const (
 	// maxTimerDelay is how late a timer may run before the process counts as held up.
 	maxTimerDelay = 5 * time.Millisecond
-	// newsDelay is how long a resend waits after the process was held up, so that what has come in the
-	// meantime is read first: discovery may have told that the server's process is another one.
-	newsDelay = 100 * time.Millisecond
+	// maxNewsDelay is how long a packet waits to be sent again where the process may have been held up,
+	// so that what has come in the meantime is read first: discovery may have told that the server's
+	// process is another one.
+	maxNewsDelay = 100 * time.Millisecond
 )
 
+// newsDelay returns maxNewsDelay, or less where resends or the timeout come sooner.
+func (a *attempt) newsDelay() time.Duration {
+	return max(0, min(maxNewsDelay, a.transport.cfg.ResendDelay, time.Until(a.timeoutAt)))
+}
+
 // postponeOverdue postpones a resend, once, if its timer runs late.
 func (a *attempt) postponeOverdue() (postponed bool) {
 	if !a.atMostOnce || a.isPostponed || time.Since(a.timerDueAt) <= maxTimerDelay {
 		return false
 	}
 	a.isPostponed = true
-	a.setTimer(min(newsDelay, time.Until(a.timeoutAt)))
+	a.setTimer(a.newsDelay())
 	return true
 }
 
@@ -229,7 +241,10 @@
 			a.transport.mu.Unlock()
 			return
 		}
-		a.resends++
+		if !a.isResumptionDue {
+			a.resends++
+		}
+		a.isResumptionDue = false
 		if a.mayResend() {
 			a.send()
 		}
--- a/internal/radius/transport/process_test.go
+++ b/internal/radius/transport/process_test.go
@@ -187,7 +187,7 @@
 				if !request.IsLost() { // of a lost one no attempt is made
 					startAttempt(transport, request)
 				}
-				time.Sleep(50 * time.Millisecond)
+				time.Sleep(2 * maxNewsDelay)
 				if sent := servers.packets() - before; sent > 0 == c.mayBeAnother {
 					t.Errorf("%d packets by the retry", sent)
 				}
@@ -318,10 +318,29 @@
 			if isTold {
 				transport.AddServer("r1", serverAddr, 9*time.Second)
 			}
-			time.Sleep(newsDelay + time.Millisecond)
+			time.Sleep(maxNewsDelay + time.Millisecond)
 			if sent := servers.packets(); sent > 1 == isTold {
 				t.Errorf("%s: %d packets after the wait", name, sent)
 			}
 		}
 	})
 }
+
+// The retry of an event that was given up waits for news too.
+func TestRetryWaitsForNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, servers := newVirtualTransport(t)
+		request := accountingRequest()
+		attempt, outcomes := startAttempt(transport, request)
+		outcomes.expectOutcome(t, "nothing came", chalkrack.TimedOut)
+		attempt.Close()
+		before := servers.packets()
+		again, outcomes := startAttempt(transport, request)
+		transport.AddServer("r1", serverAddr, 9*time.Second)
+		outcomes.expectOutcome(t, "the process has ended", chalkrack.Cancelled)
+		again.Close()
+		if sent := servers.packets() - before; sent > 0 || !request.IsLost() {
+			t.Errorf("%d packets by the retry, lost: %v; want none and true", sent, request.IsLost())
+		}
+	})
+}
--- a/internal/radius/transport/retry_test.go
+++ b/internal/radius/transport/retry_test.go
@@ -61,7 +61,7 @@
 		early.Close()
 		attempt.Close()
 		startAttempt(transport, request)
-		time.Sleep(time.Millisecond)
+		time.Sleep(maxNewsDelay + time.Millisecond)
 		sent := servers.conns[0].packets()
 		if len(sent) != 2 || string(sent[0]) != string(sent[1]) {
 			t.Errorf("sent %x, want the same packet twice", sent)
