A keyed request's scope is that of its first send, also when the server is replaced

A keyed request that may have run is repeated only at servers of the first one's zone or group (WIRE, rule 2). The decision module read these from the server as it is listed at the retry: if discovery had told a replacement in another zone or group under the same name meanwhile, the repeat went to that zone or group, whose servers don't know the request.

Change: an attempt keeps the zone and group of its send. Nothing else is decided differently; where zone and group of a name don't change, nothing is.

Before: 4 of 6 cases of TestKeyedScopeIsThatOfTheSend fail ("sent to [a zone], want [a sibling]").

--- a/balancer.go
+++ b/balancer.go
@@ -185,6 +185,8 @@
 // attempt is one send of a request to a server.
 type attempt struct {
 	server                           *server
+	zone                             string // of the server when it was sent, as is group: another process may come under its name
+	group                            int
 	sentAt                           time.Duration
 	done, neverRan, isCopy, censored bool    // censored: the response time is only a lower bound
 	isStalled                        bool    // its answer has begun and paused
@@ -445,7 +447,7 @@
 	}
 	isAllowed := func(s *server) bool {
 		return (req.Server == "" || req.Server == s.name) && b.restrictions.HasRoom(now, s.zone, req.Class) && !slices.ContainsFunc(req.attempts, func(a attempt) bool { return a.server == s }) &&
-			(anchor == nil || req.class.Effect != Keyed || inSameScope(req.class.Scope, anchor.server, s))
+			(anchor == nil || req.class.Effect != Keyed || anchor.inScope(req.class.Scope, s))
 	}
 	preferredZone, s := b.restrictions.PreferredZone(now, req.class.Effect != Unsafe), (*server)(nil)
 	for pass := 1 - min(len(preferredZone), 1); s == nil && pass < 3; pass++ {
@@ -463,16 +465,16 @@
 		b.fleet.latencyPerHeld*heldRequests*float64(req.class.Aim) > float64(req.arrivedAt+req.class.Aim-now) {
 		return false
 	}
-	req.attempts = append(req.attempts, attempt{server: s, sentAt: now, isCopy: isCopy, serverHeld: heldRequests})
+	req.attempts = append(req.attempts, attempt{server: s, zone: s.zone, group: s.group, sentAt: now, isCopy: isCopy, serverHeld: heldRequests})
 	req.outstanding++
 	b.fleet.recordSend(s, now)
 	b.host.Send(req.ID, s.name, req.Deadline-now)
 	return true
 }
 
-// inSameScope reports whether a and b drop repeats of each other's keyed requests.
-func inSameScope(scope Scope, a, b *server) bool {
-	return scope == ScopeAll || a.zone == b.zone && (scope == ScopeZone || a.group == b.group)
+// inScope reports whether s drops repeats of the keyed request that a sent.
+func (a *attempt) inScope(scope Scope, s *server) bool {
+	return scope == ScopeAll || a.zone == s.zone && (scope == ScopeZone || a.group == s.group)
 }
 
 // Probed applies the load report that a probe returned.
