--- a/internal/radius/transport/process.go
+++ b/internal/radius/transport/process.go
@@ -74,6 +74,9 @@
 // It is called with the lock held, as are all functions below.
 func (t *Transport) addProcess(name string, addr netip.AddrPort, started time.Duration) *server {
 	if earlier := t.servers[name]; earlier != nil {
+		if earlier.isOtherProcess(started) {
+			slog.Info("radius: server has started again", "server", name, "attempts", earlier.waitingCount)
+		}
 		t.removeServer(earlier)
 	}
 	s := t.findRemoved(name, addr, started)
--- a/internal/radius/transport/transport.go
+++ b/internal/radius/transport/transport.go
@@ -10,8 +10,12 @@
 //	a verified answer                            OK                 yes
 //	nothing before the timeout of the attempt    timed out          it may have, or may yet
 //	a refusal of the port for each packet sent   could not connect  never
+//	another process takes the server's place     cancelled          it may have
 //	nothing is sent: no identifier or no socket  not sent           never
 //
+// A server recognizes duplicates only as long as its process lives. A packet of a request that must not
+// run twice is not sent again once another process may be at the server's address, see process.go.
+//
 // A datagram that can't be verified or comes from another address is dropped and counted, and the
 // attempt goes on waiting.
 package transport
