RADIUS listener: handling a request in short functions

handleRequest had grown to some sixty lines: recognizing a repeat, making the exchange of a call or retry, and passing it to the core. The last two are newExchange and start now; a retry's State is no longer looked up, which was never set, as accounting has none. No behaviour changes; the listener's and the proxy's tests pass.

--- a/internal/radius/listener/listener.go
+++ b/internal/radius/listener/listener.go
@@ -283,25 +283,39 @@
 		l.counts.Retried++
 	}
 	l.counts.Calls++
-	x := &exchange{listener: l, entry: entry, firstPacket: p, firstHop: hop, latestPacket: p, latestHop: hop, latestFrom: from}
+	x, onlyServer := l.newExchange(entry, p, hop, from)
+	isLost := x.request.IsLost()
+	if isLost {
+		l.counts.Lost++
+	}
+	l.mu.Unlock()
+	if isLost {
+		x.giveUp(onlyServer)
+		return
+	}
+	x.start(onlyServer)
+}
+
+// newExchange returns the exchange of a new call or a retry, and the only server that may take it, empty
+// for any. It is called with the lock held.
+func (l *Listener) newExchange(entry *replies.Call, p *radius.Packet, hop radius.Hop, from netip.AddrPort) (x *exchange, onlyServer string) {
+	x = &exchange{listener: l, entry: entry, firstPacket: p, firstHop: hop, latestPacket: p, latestHop: hop, latestFrom: from}
 	entry.State = x
-	onlyServer := ""
 	if earlier, ok := entry.RetryState.(*transport.Request); ok {
-		x.request, onlyServer = earlier, earlier.SentTo()
-		if earlier.IsLost() {
-			l.counts.Lost++
-			l.mu.Unlock()
-			x.giveUp(onlyServer)
-			return
-		}
-	} else {
-		x.request = &transport.Request{Packet: p, ClientHop: hop, Resumable: l.cfg.Accounting}
+		x.request = earlier
+		return x, earlier.SentTo()
 	}
+	x.request = &transport.Request{Packet: p, ClientHop: hop, Resumable: l.cfg.Accounting}
 	if state := p.Get(radius.State); state != nil && !l.cfg.Accounting {
 		onlyServer = l.conversations.ServerFor(l.now(), from.Addr(), state)
 	}
-	l.mu.Unlock()
-	host := l.cfg.HostForRealm(realmOf(p.Get(radius.UserName)))
+	return x, onlyServer
+}
+
+// start passes the call to the core of its realm.
+func (x *exchange) start(onlyServer string) {
+	l := x.listener
+	host := l.cfg.HostForRealm(realmOf(x.firstPacket.Get(radius.UserName)))
 	if host == nil {
 		l.increment(&l.counts.NoRealm)
 		x.giveUp("")
