--- a/internal/radius/proxy/server_restart_test.go
+++ b/internal/radius/proxy/server_restart_test.go
@@ -44,6 +44,16 @@
 	return fixture, discovery
 }
 
+// awaitServed waits until an event that the test has not used before is answered.
+func (f *testFixture) awaitServed() {
+	f.t.Helper()
+	waitUntil(f.t, "the new process serves nothing", func() bool {
+		request := eventRequest("s2", 1)
+		request.ResendInterval = 200 * time.Millisecond
+		return f.newClient(true).Do(request).Code == lr.CodeAccountingResponse
+	})
+}
+
 // A server counts an event, crashes before it answers and comes back at its address, and discovery tells
 // that. Guards against sending the event's packet to the new process, which would count it a second
 // time: by the resend of an open call, or by the terminal's retry of one that was given up.
@@ -105,11 +115,7 @@
 					return len(servers) == 1 && servers[0].Started == newStartMs*time.Millisecond
 				})
 				waitUntil(t, "the call has no end", isEnded)
-				waitUntil(t, "the new process serves nothing", func() bool {
-					request := eventRequest("s2", 1)
-					request.ResendInterval = 200 * time.Millisecond
-					return fixture.newClient(true).Do(request).Code == lr.CodeAccountingResponse
-				})
+				fixture.awaitServed()
 				for id := range byte(3) { // the terminal's retries
 					client.Exchange(sent(100+id), 50*time.Millisecond)
 				}
@@ -163,11 +169,7 @@
 			}
 			server.SetScript(alwaysDo(standin.RadiusAccept))
 			waitUntil(t, "the call has no end", func() bool { return fixture.proxy.Held() == 0 })
-			waitUntil(t, "the new process serves nothing", func() bool {
-				request := eventRequest("s2", 1)
-				request.ResendInterval = 200 * time.Millisecond
-				return fixture.newClient(true).Do(request).Code == lr.CodeAccountingResponse
-			})
+			fixture.awaitServed()
 			for id := range byte(3) { // the terminal's retries
 				client.Exchange(sent(100+id), 50*time.Millisecond)
 			}
@@ -207,11 +209,7 @@
 	server.SetScript(alwaysDo(standin.RadiusAccept))
 	server.SetFrozen(false)
 	waitUntil(t, "the call has no end", func() bool { return fixture.proxy.Held() == 0 })
-	waitUntil(t, "the new process serves nothing", func() bool {
-		request := eventRequest("s2", 1)
-		request.ResendInterval = 200 * time.Millisecond
-		return fixture.newClient(true).Do(request).Code == lr.CodeAccountingResponse
-	})
+	fixture.awaitServed()
 	if c := fixture.ledger.Count(eventName("s1", 1)); c.Effects != 1 {
 		t.Errorf("%+v, want one that is counted once", c)
 	}
--- a/internal/radius/transport/process_test.go
+++ b/internal/radius/transport/process_test.go
@@ -63,6 +63,16 @@
 	return transport, servers
 }
 
+// giveUpEvent starts an attempt for a new event at r1 and gives it up. The attempt is kept for a retry.
+func giveUpEvent(t *testing.T, transport *Transport) *Request {
+	t.Helper()
+	request := accountingRequest()
+	attempt, outcomes := startAttempt(transport, request)
+	outcomes.expectOutcome(t, "nothing came", chalkrack.TimedOut)
+	attempt.Close()
+	return request
+}
+
 // news is what a Transport may be told of the server r1 while events are open there.
 var news = map[string]struct {
 	tell func(t *Transport)
@@ -178,10 +188,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				transport, servers := newVirtualTransport(t)
-				request := accountingRequest()
-				attempt, outcomes := startAttempt(transport, request)
-				outcomes.expectOutcome(t, "nothing came", chalkrack.TimedOut)
-				attempt.Close()
+				request := giveUpEvent(t, transport)
 				before := servers.packets()
 				c.tell(transport)
 				if !request.IsLost() { // of a lost one no attempt is made
@@ -218,16 +225,14 @@
 func TestNewProcessIsServedAndEarlierOneForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport, servers := newVirtualTransport(t)
-		given, outcomes := startAttempt(transport, accountingRequest())
-		outcomes.expectOutcome(t, "nothing came", chalkrack.TimedOut)
-		given.Close() // it is kept for a retry
+		giveUpEvent(t, transport)
 		var open []*sink
 		for range 256 - 1 {
 			attempt, outcomes := startAttempt(transport, accountingRequest())
 			defer attempt.Close()
 			open = append(open, outcomes)
 		}
-		_, outcomes = startAttempt(transport, accountingRequest())
+		_, outcomes := startAttempt(transport, accountingRequest())
 		outcomes.expectOutcome(t, "all identifiers are in use", chalkrack.NotSent)
 		began := time.Now()
 		transport.AddServer("r1", serverAddr, 9*time.Second)
@@ -330,10 +335,7 @@
 func TestRetryWaitsForNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport, servers := newVirtualTransport(t)
-		request := accountingRequest()
-		attempt, outcomes := startAttempt(transport, request)
-		outcomes.expectOutcome(t, "nothing came", chalkrack.TimedOut)
-		attempt.Close()
+		request := giveUpEvent(t, transport)
 		before := servers.packets()
 		again, outcomes := startAttempt(transport, request)
 		transport.AddServer("r1", serverAddr, 9*time.Second)
--- a/internal/radius/transport/refusal_test.go
+++ b/internal/radius/transport/refusal_test.go
@@ -60,10 +60,7 @@
 func TestRefusalAfterGivingUpPreventsRetry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport, servers := newVirtualTransport(t)
-		request := accountingRequest()
-		attempt, outcomes := startAttempt(transport, request)
-		outcomes.expectOutcome(t, "nothing came", chalkrack.TimedOut)
-		attempt.Close()
+		request := giveUpEvent(t, transport)
 		sent := servers.conns[0].packets()
 		servers.conns[0].refuse(sent[len(sent)-1])
 		if !request.IsLost() || transport.parkedCount != 0 {
--- a/internal/radius/transport/retry_test.go
+++ b/internal/radius/transport/retry_test.go
@@ -31,15 +31,12 @@
 func TestLateAnswerHoldsNoIdentifier(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport, servers := newVirtualTransport(t)
-		request := accountingRequest()
-		attempt, outcomes := startAttempt(transport, request)
-		outcomes.expectOutcome(t, "nothing came", chalkrack.TimedOut)
-		attempt.Close()
+		request := giveUpEvent(t, transport)
 		servers.answerLast(t, servers.conns[0])
 		if inUse := transport.servers["r1"].identifiers.InUse(); inUse != 0 || transport.parkedCount != 0 {
 			t.Errorf("%d identifiers in use, %d attempts parked; want none", inUse, transport.parkedCount)
 		}
-		_, outcomes = startAttempt(transport, request)
+		_, outcomes := startAttempt(transport, request)
 		outcomes.expectOutcome(t, "the late answer", chalkrack.OK)
 		if request.lateAnswer != nil {
 			t.Error("the answer is kept after the retry has it")
