RADIUS: tests for four guards of a server's process that none would have missed

Without four of them all tests passed: calls that are safe to repeat are sent again after the process has ended (the test had no ended process), an ended process isn't taken up again when its server is listed again, nor one whose start is unknown, and a new start doesn't extend the drain grace. No product code changes.

--- a/internal/radius/transport/process_test.go
+++ b/internal/radius/transport/process_test.go
@@ -346,3 +346,35 @@
 		}
 	})
 }
+
+// A server that leaves and is listed again without a start, as before, may be another process.
+func TestServerWithoutStartIsNotTakenUpAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, servers := newVirtualTransport(t)
+		transport.AddServer("r2", otherAddr, 0)
+		outcomes := &sink{done: make(chan chalkrack.Outcome, 2)}
+		transport.NewAttempt(core.Order{Payload: accountingRequest(), Server: "r2", AtMostOnce: true, Sink: outcomes}).Start()
+		transport.RetireServer("r2", "", 0, true)
+		transport.AddServer("r2", otherAddr, 0)
+		time.Sleep(5 * time.Second)
+		if sent := servers.packets(); sent != 1 {
+			t.Errorf("%d packets, want none after the first", sent)
+		}
+	})
+}
+
+// The drain grace counts from when the server was first told to drain, whichever process drains.
+func TestNewStartDoesNotExtendDrainGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, servers := newVirtualTransport(t)
+		transport.RetireServer("r1", serverAddr, 5*time.Second, false)
+		time.Sleep(1500 * time.Millisecond)
+		transport.RetireServer("r1", serverAddr, 9*time.Second, false)
+		time.Sleep(time.Second)
+		_, outcomes := startAttempt(transport, accountingRequest())
+		outcomes.expectOutcome(t, "after the grace", chalkrack.ConnectFailed)
+		if sent := servers.packets(); sent != 0 {
+			t.Errorf("%d packets after the grace, want none", sent)
+		}
+	})
+}
--- a/internal/radius/transport/refusal_test.go
+++ b/internal/radius/transport/refusal_test.go
@@ -90,19 +90,42 @@
 	})
 }
 
-// A call that is safe to repeat is sent again as configured: it may well run at the new process.
+// A call that is safe to repeat is sent again as configured, also after the process has ended for an event
+// that it may have counted: it may well run at the new process.
 func TestSafeCallIsSentAgainAfterRefusal(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		transport, servers := newVirtualTransport(t)
 		request := accountingRequest()
 		request.Resumable = false
 		transport.NewAttempt(core.Order{Payload: request, Server: "r1", Sink: &sink{done: make(chan chalkrack.Outcome, 2)}}).Start()
+		startAttempt(transport, accountingRequest()) // it may have run
 		_, outcomes := startAttempt(transport, accountingRequest())
-		servers.conns[0].refuse(servers.conns[0].packets()[1])
+		servers.conns[0].refuse(servers.conns[0].packets()[2])
 		outcomes.expectOutcome(t, "refused", chalkrack.ConnectFailed)
+		if len(transport.removed) != 1 {
+			t.Errorf("%d processes have ended, want 1", len(transport.removed))
+		}
 		time.Sleep(150 * time.Millisecond)
-		if sent := servers.packets(); sent != 3 {
-			t.Errorf("%d packets, want three: those of both and one resend", sent)
+		sent := servers.conns[0].packets()
+		if len(sent) != 4 || string(sent[3]) != string(sent[0]) {
+			t.Errorf("%d packets, want four: those of the three calls and the safe one's again", len(sent))
+		}
+	})
+}
+
+// A process that a refusal has ended stays ended, also if its server leaves and is listed again with the
+// start that was known before.
+func TestEndedProcessIsNotTakenUpAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		transport, servers := newVirtualTransport(t)
+		startAttempt(transport, accountingRequest())
+		transport.PortRefused(transport.servers["r1"].addr)
+		transport.RetireServer("r1", "", 0, true)
+		transport.AddServer("r1", serverAddr, 5*time.Second)
+		time.Sleep(5 * time.Second)
+		if sent := servers.packets(); sent != 1 {
+			t.Errorf("%d packets, want none after the first", sent)
 		}
+		expectServed(t, transport, servers, "r1")
 	})
 }
