Pools follow a change of the configuration, with the platform's servers or not at all

Cause: newServerPool made a core from the settings of the start, and the Manager put a change on trial at the platform's core alone. A pool's answers named configuration 0 before and after (trial on a copy of the case); ruled out are a stamp of an earlier configuration (they would name 1) and a retry outside the pool's core (its log has the further attempts). The queue of a pool had the worth, deadlines and Retry-After of the start too, and the connections their times.

Change: all cores of a process are a core.Group. Connections of all paths get the times. A pool that can't take a change refuses it before the trial, by name and field. A queued call waits by the configuration that it came under.

--- a/internal/components/changes/admin.go
+++ b/internal/components/changes/admin.go
@@ -150,7 +150,7 @@
 	s := &Status{Running: st.Good, Trial: st.Baking, Alone: g.current.OnTrial, Bake: time.Duration(g.current.Features.Config.TrialDuration).Seconds(),
 		Pending: g.reloadPending, Lasting: g.current.IsPersistent, Problem: g.storeError, Events: st.Events}
 	if g.trial != nil {
-		r, _, since, _ := g.host.TrialRuling()
+		r, _, since, _ := g.cores.TrialRuling()
 		s.Since, s.Calls, s.Needed = since.Seconds(), r.Calls, r.Needed
 	} else if g.current.OnTrial {
 		s.Since = time.Since(g.startTime).Seconds()
--- a/internal/components/changes/changes.go
+++ b/internal/components/changes/changes.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"runtime"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,7 +21,6 @@
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
 	"chalkrack/internal/history"
-	"chalkrack/internal/upstream"
 )
 
 // Proposal is a request to change the configuration. Parts that are left out do not change.
@@ -52,8 +50,7 @@
 // Config configures a Manager.
 type Config struct {
 	Running   *config.Config
-	Host      *core.Host
-	Pool      *upstream.Pool
+	Paths     []Path // all ways to servers over HTTP; the platform's is the first
 	Front     *front.Server
 	Discovery *discovery.Watcher
 	Listener  net.Listener     // for clients
@@ -67,8 +64,8 @@
 	current *config.Config // the current configuration; during a trial, the one before it
 	trial   *config.Config // on trial beside current; nil if there is none
 
-	host    *core.Host
-	pool    *upstream.Pool
+	paths   []Path
+	cores   *core.Group // of the paths, in their order
 	srv     *front.Server
 	watcher *discovery.Watcher
 
@@ -90,7 +87,7 @@
 
 // New returns a Manager for the running configuration.
 func New(c Config) *Manager {
-	return &Manager{current: c.Running, host: c.Host, pool: c.Pool, srv: c.Front, watcher: c.Discovery, listener: c.Listener, figures: c.Figures, startTime: time.Now(), requests: make(chan Request), done: make(chan struct{})}
+	return &Manager{current: c.Running, paths: c.Paths, cores: coresOf(c.Paths), srv: c.Front, watcher: c.Discovery, listener: c.Listener, figures: c.Figures, startTime: time.Now(), requests: make(chan Request), done: make(chan struct{})}
 }
 
 // Running returns the current configuration; during a trial, the one before it.
@@ -118,13 +115,21 @@
 func (g *Manager) usage() change.Usage {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return change.Usage{MemoryMB: int(m.Sys >> 20), Sockets: g.srv.Conns() + g.pool.Conns(), Held: g.host.Held()}
+	use := change.Usage{MemoryMB: int(m.Sys >> 20), Sockets: g.srv.Conns(), Held: g.paths[0].Host.Held()} // pools have limits of their own on held calls
+	for _, p := range g.paths {
+		use.Sockets += p.Conns.Conns()
+	}
+	return use
 }
 
 // plan compares a configuration with the current one. It returns all changes, and every
 // reason why they must not be made now.
 func (g *Manager) plan(next *config.Config) (*change.Plan, []error, error) {
-	return comparePlan(g.current, next, g.usage())
+	p, why, err := comparePlan(g.current, next, g.usage())
+	if err != nil {
+		return nil, nil, err
+	}
+	return p, append(why, checkPaths(g.paths, next)...), nil
 }
 
 func comparePlan(running, next *config.Config, use change.Usage) (*change.Plan, []error, error) {
@@ -139,17 +144,7 @@
 	for _, ch := range p.NeedingRestart() {
 		why = append(why, fmt.Errorf("%s: %s -> %s: %w", ch.Field, ch.Old, ch.New, errNeedsRestart))
 	}
-	// Parts that are created at the start know only the classes of that time.
-	for _, ch := range p.Changes {
-		switch {
-		case !ch.Live || !strings.HasPrefix(ch.Field, "settings."):
-		case running.Features.Radius.Enabled:
-			why = append(why, fmt.Errorf("%s: %s -> %s: [radius] depends on it and %w", ch.Field, ch.Old, ch.New, errNeedsRestart))
-		case running.Features.Bodies.Enabled && strings.HasSuffix(ch.Field, "].name"):
-			why = append(why, fmt.Errorf("%s: %s -> %s: [bodies] has shares for each of them and %w", ch.Field, ch.Old, ch.New, errNeedsRestart))
-		}
-	}
-	return p, why, nil
+	return p, append(why, checkStartCopies(running.Features, p.Changes)...), nil
 }
 
 // propose checks a configuration and, unless planOnly is set, puts it on trial if every
@@ -229,14 +224,14 @@
 	g.trialCount++
 	g.figures.AddClasses(next.Settings.ClassNames())
 	began := time.Now()
-	err := g.host.StartTrial(next.Generation(id), configtrial.Config{
+	err := g.cores.StartTrial(generationsOf(g.paths, next.Generation(id)), configtrial.Config{
 		Share: f.TrialShare, FalseUndo: f.FalseUndoProbability, DetectableShare: f.DetectableShare, Duration: time.Duration(f.TrialDuration), ThinUndo: f.OnFewCalls == "undo",
 	}, g.current.Seed^g.trialCount)
 	if err != nil {
 		closeListener(ln)
 		return err
 	}
-	g.pool.SetTimeouts(strictestTimes(connTimes(g.current), connTimes(next)))
+	g.setTimeouts(strictestTimes(connTimes(g.current), connTimes(next)))
 	g.addSwitchTime(time.Since(began))
 	g.trial, g.trialListener = next, ln
 	if ln != nil {
@@ -253,15 +248,6 @@
 	g.switchTimes = g.switchTimes[max(0, len(g.switchTimes)-maxSwitchTimes):]
 }
 
-func connTimes(c *config.Config) upstream.Timeouts {
-	return upstream.Timeouts{ConnIdleTimeout: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout, DrainGrace: c.Settings.DrainGrace}
-}
-
-// strictestTimes returns the times that keep the promises of both configurations.
-func strictestTimes(a, b upstream.Timeouts) upstream.Timeouts {
-	return upstream.Timeouts{ConnIdleTimeout: min(a.ConnIdleTimeout, b.ConnIdleTimeout), DialTimeout: max(a.DialTimeout, b.DialTimeout), DrainGrace: min(a.DrainGrace, b.DrainGrace)}
-}
-
 // setStoreError logs an error of the store and keeps it for Status; nil clears it.
 func (g *Manager) setStoreError(err error) {
 	g.storeError = ""
@@ -299,7 +285,7 @@
 			g.runPendingReload()
 		}
 	case g.trial != nil:
-		r, class, _, err := g.host.TrialRuling()
+		r, class, _, err := g.cores.TrialRuling()
 		if err != nil || r.Verdict == configtrial.Watching {
 			return
 		}
@@ -342,7 +328,7 @@
 // switchFromTrial makes one of the two configurations the current one and ends the other.
 func (g *Manager) switchFromTrial(keep bool) {
 	began := time.Now()
-	if err := g.host.EndTrial(keep); err != nil { // both sets of rules were checked
+	if err := g.cores.EndTrial(keep); err != nil { // both sets of rules were checked
 		slog.Error("a trial could not be ended", "err", err)
 	}
 	winner, old := g.current, g.trialListener
@@ -353,7 +339,7 @@
 			old, g.listener = g.listener, g.trialListener
 		}
 	}
-	g.pool.SetTimeouts(connTimes(winner))
+	g.setTimeouts(connTimes(winner))
 	g.addSwitchTime(time.Since(began))
 	closeListener(old) // connections that it accepted stay open
 	g.current, g.trial, g.trialListener = winner, nil, nil
--- a/internal/components/changes/changes_test.go
+++ b/internal/components/changes/changes_test.go
@@ -17,6 +17,7 @@
 	"chalkrack/internal/figures"
 	"chalkrack/internal/front"
 	"chalkrack/internal/history"
+	"chalkrack/internal/settings"
 	"chalkrack/internal/upstream"
 )
 
@@ -38,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := New(Config{Running: c, Host: host, Pool: pool, Front: front.New(front.Config{MaxConns: 10}, host), Discovery: new(discovery.Watcher), Listener: ln})
+	g := New(Config{Running: c, Paths: []Path{{Host: host, Conns: pool}}, Front: front.New(front.Config{MaxConns: 10}, host), Discovery: new(discovery.Watcher), Listener: ln})
 	t.Cleanup(func() { g.Close(); host.Close(); pool.Close(); c.History.Close() })
 	return g
 }
@@ -71,7 +72,7 @@
 		if out, err := g.propose(next, "", false); err != nil || out.ID != 2 {
 			t.Fatalf("%+v, %v", out, err)
 		}
-		if got := g.pool.Timeouts(); got != (upstream.Timeouts{ConnIdleTimeout: 20 * time.Second, DialTimeout: 900 * time.Millisecond, DrainGrace: time.Second}) {
+		if got := g.paths[0].Conns.Timeouts(); got != (upstream.Timeouts{ConnIdleTimeout: 20 * time.Second, DialTimeout: 900 * time.Millisecond, DrainGrace: time.Second}) {
 			t.Errorf("times during the trial: %+v", got)
 		}
 		if g.LongestDeadline() != time.Minute {
@@ -83,7 +84,7 @@
 		g.current.Discovery = "127.0.0.1:99" // as a SIGHUP within the trial has it
 		g.finishTrial(keep, "")
 		want := connTimes(g.current)
-		if got := g.pool.Timeouts(); got != want || (want.ConnIdleTimeout == 20*time.Second) != keep {
+		if got := g.paths[0].Conns.Timeouts(); got != want || (want.ConnIdleTimeout == 20*time.Second) != keep {
 			t.Errorf("keep %v: %+v, want %+v", keep, got, want)
 		}
 		if g.current.Discovery != "127.0.0.1:99" || (g.current == next) != keep {
@@ -143,7 +144,7 @@
 		t.Fatal(err)
 	}
 	st := g.current.History.State()
-	if st.Baking != 0 || g.current.OnTrial || g.current.Settings.Config.MaxAttempts != 5 || g.host.Generations().Current.ID != int(st.Good) || g.host.Generations().Next != nil {
+	if st.Baking != 0 || g.current.OnTrial || g.current.Settings.Config.MaxAttempts != 5 || g.paths[0].Host.Generations().Current.ID != int(st.Good) || g.paths[0].Host.Generations().Next != nil {
 		t.Errorf("%+v, %d attempts", st, g.current.Settings.Config.MaxAttempts)
 	}
 }
@@ -184,6 +185,52 @@
 	}
 }
 
+// Guards against a change that the platform's servers take and a pool can't: it is refused with the pool
+// and the field, and leaves neither a trial nor an entry in the history.
+func TestChangeThatOnePathCannotTakeIsRefused(t *testing.T) {
+	p := configtest.New(t)
+	p.Write(t, 5, "[config]\nenabled = true\n")
+	g := newTestChanges(t, p.Load(t))
+	other, err := core.New(core.Config{Generation: g.current.Generation(g.current.ID()), Seed: 2, Transport: g.paths[0].Conns})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	canTake := false
+	g.paths = append(g.paths, Path{Name: "web", Host: other, Conns: g.paths[0].Conns, Adapt: func(platform *settings.Settings) *settings.Settings {
+		own := *platform
+		if !canTake {
+			own.Config.MaxAttempts = 0
+		}
+		return &own
+	}})
+	g.cores = coresOf(g.paths)
+	next := g.withReplacement(t, `"attemptsCap":5`, `"attemptsCap":4`)
+	if _, err := g.propose(next, "", false); err == nil || !strings.Contains(err.Error(), `"web"`) || !strings.Contains(err.Error(), "MaxAttempts") {
+		t.Errorf("the change is answered with %v", err)
+	}
+	if err := g.switchToTrial(next, 2, nil); err == nil {
+		t.Error("a change that one core can't take began")
+	}
+	for _, path := range g.paths {
+		if v := path.Host.Generations(); v.Next != nil || v.Current.ID != 1 {
+			t.Errorf("path %q serves under %+v", path.Name, v)
+		}
+	}
+	if st := g.current.History.State(); len(st.Events) != 1 || g.trial != nil {
+		t.Errorf("history %+v, trial %v", st, g.trial)
+	}
+	canTake = true
+	if _, err := g.propose(next, "", false); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range g.paths {
+		if v := path.Host.Generations(); v.Next == nil || v.Next.ID != 2 {
+			t.Errorf("path %q serves under %+v", path.Name, v)
+		}
+	}
+}
+
 // During a trial the times of shared connections keep the promises of both configurations.
 func TestStrictestTimesKeepsBothPromises(t *testing.T) {
 	a := upstream.Timeouts{ConnIdleTimeout: 3, DialTimeout: 1, DrainGrace: 2}
--- a/internal/components/pools/pools.go
+++ b/internal/components/pools/pools.go
@@ -38,6 +38,8 @@
 	queue   *queuedHandler // in front of host; nil: calls go to host directly
 	conns   *upstream.Pool
 	watcher *discovery.Watcher // nil if the list of servers is fixed
+	// adapt returns the pool's settings under those of the platform.
+	adapt func(platform *settings.Settings) *settings.Settings
 
 	mu        sync.Mutex
 	members   *pool.Pool // nil if servers come from discovery
@@ -50,12 +52,12 @@
 
 // Config holds the inputs of New.
 type Config struct {
-	Settings *settings.Settings // the platform's
-	Features *features.File
-	Seed     uint64
-	Trace    *slog.Logger       // receives the traces of calls; may be nil
-	Heads    *httphead.Budget   // for the long heads of answers; nil: a budget for each pool
-	Answers  *bytebudget.Budget // for answers that are held; nil: not bounded
+	Generation *generation.Generation // the platform's at the start
+	Features   *features.File
+	Seed       uint64
+	Trace      *slog.Logger       // receives the traces of calls; may be nil
+	Heads      *httphead.Budget   // for the long heads of answers; nil: a budget for each pool
+	Answers    *bytebudget.Budget // for answers that are held; nil: not bounded
 }
 
 // Settings returns the platform's settings with the pool's own values applied.
@@ -79,8 +81,9 @@
 // newServerPool starts a pool: it follows discovery, or lists its fixed servers and starts
 // their checks.
 func newServerPool(c *Config, p *features.Pool, seed uint64) (*serverPool, error) {
-	set := Settings(c.Settings, p)
+	set := Settings(c.Generation.Settings, p)
 	s := &serverPool{name: p.Name, checks: p.Checks, start: time.Now()}
+	s.adapt = func(platform *settings.Settings) *settings.Settings { return Settings(platform, p) }
 	s.startUnix = time.Duration(s.start.UnixNano())
 	s.conns = upstream.New(upstream.Config{
 		ConnIdleTimeout: set.ConnIdle, DialTimeout: set.DialTimeout, DrainGrace: set.DrainGrace, MaxConns: p.MaxConnections, StallTimeout: set.ShortestAim() / 2, StreamStallTimeout: upstream.StreamStallTimeoutFor(set.MaxDeadline()),
@@ -88,26 +91,13 @@
 	})
 	var err error
 	s.host, err = core.New(core.Config{
-		Generation: &generation.Generation{Settings: set, Paths: c.Features.Paths, PassClientErrors: c.Features.Answers.PassClientErrors},
-		Seed:       seed, Transport: s.conns, TraceLog: c.Trace,
+		Generation: c.Generation.WithSettings(set), Seed: seed, Transport: s.conns, TraceLog: c.Trace,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
 	}
 	if p.MaxActive > 0 {
-		s.queue, err = newQueuedHandler(s.host, queue.Limits{MaxActive: p.MaxActive, MaxWaiting: p.MaxWaiting, MaxWait: time.Duration(p.QueueWait)},
-			func(class string) float64 {
-				if k := set.ClassByName(class); k != nil {
-					return k.Worth
-				}
-				return 0
-			},
-			func(c *core.Call) time.Duration {
-				if c.Timeout > 0 {
-					return c.Timeout
-				}
-				return set.DeadlineOf(c.Class)
-			}, set.Config.MaxRetryAfter)
+		s.queue, err = newQueuedHandler(s.host, queue.Limits{MaxActive: p.MaxActive, MaxWaiting: p.MaxWaiting, MaxWait: time.Duration(p.QueueWait)})
 		if err != nil {
 			return nil, fmt.Errorf("pool %q: %w", p.Name, err)
 		}
@@ -387,6 +377,25 @@
 	}
 }
 
+// Core is the core of a pool with its connections.
+type Core struct {
+	Pool  string // the pool's name
+	Host  *core.Host
+	Conns *upstream.Pool
+	// Adapt returns the pool's settings under those of the platform.
+	Adapt func(platform *settings.Settings) *settings.Settings
+}
+
+// Cores returns the cores of all pools, in the configured order.
+func (r *Routing) Cores() (all []Core) {
+	if r != nil {
+		for _, p := range r.ordered {
+			all = append(all, Core{p.name, p.host, p.conns, p.adapt})
+		}
+	}
+	return all
+}
+
 // Addresses returns the addresses of the further listeners by name.
 func (r *Routing) Addresses() map[string]string {
 	all := make(map[string]string)
--- a/internal/components/pools/queued.go
+++ b/internal/components/pools/queued.go
@@ -6,17 +6,24 @@
 
 	"chalkrack/internal/core"
 	"chalkrack/internal/front"
+	"chalkrack/internal/generation"
 	"chalkrack/internal/queue"
 )
 
-// queuedHandler queues the calls of a pool in front of its core. It takes the place of the
-// core as the front's Handler, and wraps each call's Caller to detect the end of the call.
-type queuedHandler struct {
+// handler is the core behind a queue.
+type handler interface {
 	front.Handler
-	worth         func(class string) float64
-	maxDuration   func(c *core.Call) time.Duration // time limit of a call, from Received
-	maxRetryAfter time.Duration                    // upper bound of the retry delay sent to clients
+	// Stamp returns the configuration generation for a call that begins to arrive.
+	Stamp() generation.Stamp
+	// RecordUnsentRefusal reports a call that was refused before it arrived.
+	RecordUnsentRefusal(c *core.Call)
+}
 
+// queuedHandler queues the calls of a pool in front of its core. It takes the place of the
+// core as the front's Handler, and wraps each call's Caller to detect the end of the call. Each
+// call waits under the configuration generation that it is stamped with.
+type queuedHandler struct {
+	handler
 	start   time.Time
 	mu      sync.Mutex
 	queue   *queue.Queue
@@ -38,28 +45,47 @@
 }
 
 // newQueuedHandler returns a queue in front of h, or an error if the limits are invalid.
-func newQueuedHandler(h front.Handler, l queue.Limits, worth func(string) float64, maxDuration func(*core.Call) time.Duration, maxRetryAfter time.Duration) (*queuedHandler, error) {
+func newQueuedHandler(h handler, l queue.Limits) (*queuedHandler, error) {
 	q, err := queue.New(l)
 	if err != nil {
 		return nil, err
 	}
-	s := &queuedHandler{Handler: h, worth: worth, maxDuration: maxDuration, maxRetryAfter: maxRetryAfter, start: time.Now(), queue: q, waiting: make(map[queue.ID]*trackedCall), tracked: make(map[*core.Call]*trackedCall)}
+	s := &queuedHandler{handler: h, start: time.Now(), queue: q, waiting: make(map[queue.ID]*trackedCall), tracked: make(map[*core.Call]*trackedCall)}
 	s.timer = time.AfterFunc(time.Hour, s.expireWaiting)
 	s.timer.Stop()
 	return s, nil
 }
 
+// worthOf returns the worth of a call's class, 0 if its generation does not have the class.
+func worthOf(c *core.Call) float64 {
+	if class := c.Generation.Gen.Settings.ClassByName(c.Class); class != nil {
+		return class.Worth
+	}
+	return 0
+}
+
+// maxDuration returns the time limit of a call, from Received on.
+func maxDuration(c *core.Call) time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
+	}
+	return c.Generation.Gen.Settings.DeadlineOf(c.Class)
+}
+
 func (s *queuedHandler) now() time.Duration { return time.Since(s.start) }
 
 // Arrive implements front.Handler.
 func (s *queuedHandler) Arrive(c *core.Call) {
+	if c.Generation.Gen == nil {
+		c.Generation = s.Stamp()
+	}
 	s.mu.Lock()
 	s.lastID++
 	t := &trackedCall{Caller: c.Caller, handler: s, id: s.lastID, call: c, pending: 1}
-	deadline := c.Received.Add(s.maxDuration(c)).Sub(s.start)
+	deadline := c.Received.Add(maxDuration(c)).Sub(s.start)
 	// A call whose body is still being sent by its client, and is not stored, can't wait.
 	mayWait := c.Limits == nil || c.Limits.BodyTimeout == 0
-	decision, change := s.queue.Arrive(s.now(), t.id, s.worth(c.Class), deadline, mayWait)
+	decision, change := s.queue.Arrive(s.now(), t.id, worthOf(c), deadline, mayWait)
 	if decision != queue.Admit { // also a refused call: applyChange looks it up here
 		s.waiting[t.id] = t
 	}
@@ -68,7 +94,7 @@
 	s.mu.Unlock()
 	s.applyChange(change)
 	if decision == queue.Admit {
-		s.Handler.Arrive(c)
+		s.handler.Arrive(c)
 	}
 }
 
@@ -95,10 +121,11 @@
 	for _, t := range admitted {
 		// In a goroutine: a call that the core ends at once frees its place and admits the
 		// next one, which would nest as deeply as the queue is long.
-		go s.Handler.Arrive(t.call)
+		go s.handler.Arrive(t.call)
 	}
 	for n, t := range refused {
-		t.Caller.Refuse(min(c.Refused[n].RetryAfter, s.maxRetryAfter), true)
+		s.RecordUnsentRefusal(t.call)
+		t.Caller.Refuse(min(c.Refused[n].RetryAfter, t.call.Generation.Gen.Settings.Config.MaxRetryAfter), true)
 		t.Caller.Release()
 	}
 }
@@ -123,7 +150,7 @@
 	}
 	s.mu.Unlock()
 	if !waits {
-		return s.Handler.ClientGone(c)
+		return s.handler.ClientGone(c)
 	}
 	t.Caller.Release()
 	return true
--- a/internal/components/pools/queued_test.go
+++ b/internal/components/pools/queued_test.go
@@ -7,9 +7,11 @@
 	"testing/synctest"
 	"time"
 
+	"chalkrack"
 	"chalkrack/internal/core"
 	"chalkrack/internal/generation"
 	"chalkrack/internal/queue"
+	"chalkrack/internal/settings"
 )
 
 // fakeCore is a Handler that records calls, and ends them only if endsAtOnce is set.
@@ -18,6 +20,8 @@
 	calls      []*core.Call
 	endsAtOnce bool // fail and release each call on arrival
 	goneCount  int
+	generation *generation.Generation // of the calls that arrive
+	refused    int                    // calls that RecordUnsentRefusal has reported
 }
 
 func (h *fakeCore) Arrive(c *core.Call) {
@@ -33,6 +37,12 @@
 func (h *fakeCore) ClientGone(*core.Call) bool { h.goneCount++; return false }
 func (h *fakeCore) Ready() bool                { return true }
 func (h *fakeCore) BodyComplete(*core.Call)    {}
+func (h *fakeCore) Stamp() generation.Stamp    { return generation.Stamp{Gen: h.generation} }
+func (h *fakeCore) RecordUnsentRefusal(*core.Call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refused++
+}
 func (h *fakeCore) Route(string) (string, generation.Stamp, bool) {
 	return "", generation.Stamp{}, true
 }
@@ -69,11 +79,23 @@
 func (h *fakeCaller) End(bool)                       { h.record("ended") }
 func (h *fakeCaller) Release()                       { h.record("released") }
 
+// newWorthGeneration returns a generation with the classes x and xx, of the given worths. Its deadlines
+// are a minute long.
+func newWorthGeneration(t *testing.T, worthOfX, worthOfXX float64) *generation.Generation {
+	t.Helper()
+	cfg := chalkrack.Config{Instances: 1, MaxAttempts: 1, MaxRetryAfter: 3 * time.Second, Classes: []chalkrack.Class{{Aim: time.Second, Worth: worthOfX}, {Aim: time.Second, Worth: worthOfXX}}}
+	set, err := settings.New(cfg, []string{"x", "xx"}, []time.Duration{time.Minute, time.Minute})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &generation.Generation{Settings: set}
+}
+
 // newTestQueue returns a queue in front of a fakeCore, and a function that sends it a call.
 func newTestQueue(t *testing.T, l queue.Limits) (*queuedHandler, *fakeCore, func(id, class string, wait time.Duration) *fakeCaller) {
 	t.Helper()
-	h := new(fakeCore)
-	s, err := newQueuedHandler(h, l, func(class string) float64 { return float64(len(class)) }, func(c *core.Call) time.Duration { return c.Timeout }, 3*time.Second)
+	h := &fakeCore{generation: newWorthGeneration(t, 1, 2)}
+	s, err := newQueuedHandler(h, l)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,3 +193,32 @@
 		}
 	})
 }
+
+// Guards against a queue that goes on by the settings of the start: a call waits by the worth and the
+// deadline of its own configuration, and one that the queue refuses counts in a trial.
+func TestQueuedCallsFollowTheirConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, held, ask := newTestQueue(t, queue.Limits{MaxActive: 1, MaxWaiting: 3, MaxWait: 2 * time.Second})
+		ask("active", "x", time.Minute)
+		_, calls := held.takeCalls()
+		ask("xx before the change", "xx", time.Minute)
+		held.generation = newWorthGeneration(t, 3, 1)
+		ask("xx after it", "xx", time.Minute)
+		ask("x after it", "x", 0) // of most worth now
+		for _, want := range []string{"[x after it]", "[xx before the change]"} {
+			calls[0].Caller.Fail()
+			calls[0].Caller.Release()
+			synctest.Wait()
+			var ids []string
+			if ids, calls = held.takeCalls(); fmt.Sprint(ids) != want {
+				t.Fatalf("admitted: %v, want %s", ids, want)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if held.refused != 1 {
+			t.Errorf("%d refusals reported, want 1", held.refused)
+		}
+		s.stop()
+	})
+}
--- a/internal/core/trial.go
+++ b/internal/core/trial.go
@@ -34,44 +34,12 @@
 // Generations returns the configuration generations that currently take calls.
 func (h *Host) Generations() *generation.View { return h.generationView.Load() }
 
-// StartTrial starts a trial of next beside the current generation, atomically. The Balancer keeps
-// everything that it has learned, and calls in progress keep their generation. On an error
-// nothing changes.
-func (h *Host) StartTrial(next *generation.Generation, cfg configtrial.Config, seed uint64) (err error) {
-	h.handleEvent(func(now time.Duration) {
-		rules, e := h.generations.BeginTrial(now, next, cfg, seed)
-		if err = e; err == nil {
-			if err = h.balancer.SetConfig(rules); err != nil {
-				h.generations.EndTrial(false)
-			}
-		}
-		h.generationView.Store(h.generations.View())
-	})
-	return err
-}
-
-// TrialRuling returns the ruling on the trial so far, the name of the class that weighs most in it,
-// and for how long the trial has run. It returns an error if there is no trial.
-func (h *Host) TrialRuling() (ruling configtrial.Result, class string, since time.Duration, err error) {
-	h.handleEvent(func(now time.Duration) {
-		if ruling, since, err = h.generations.Evaluate(now); err == nil {
-			class = h.generations.Classes()[ruling.Class]
-		}
-	})
-	return ruling, class, since, err
-}
-
-// EndTrial ends the trial, atomically. With keep, the new generation serves all later calls,
-// otherwise the previous one does. It returns an error if there is no trial.
-func (h *Host) EndTrial(keep bool) (err error) {
+// RecordUnsentRefusal reports to the trial a call that was refused before it arrived, by a queue in front
+// of the Host.
+func (h *Host) RecordUnsentRefusal(c *Call) {
 	h.handleEvent(func(time.Duration) {
-		rules, e := h.generations.EndTrial(keep)
-		if err = e; err == nil {
-			err = h.balancer.SetConfig(rules)
-		}
-		h.generationView.Store(h.generations.View())
+		h.generations.RecordFailure(c.Generation, c.Generation.Gen.Class(c.Class), configtrial.Refused)
 	})
-	return err
 }
 
 // recordInTrial reports to the trial how a call ended for its client. A call whose client left
--- a/internal/core/trial_test.go
+++ b/internal/core/trial_test.go
@@ -70,6 +70,7 @@
 			t.Fatal(err)
 		}
 		defer h.Close()
+		group := core.NewGroup(h)
 		l := &membership.List{Complete: true}
 		for _, name := range []string{"s0", "s1", "s2", "s3", "s4", "s5"} {
 			l.Entries = append(l.Entries, membership.Entry{Endpoint: chalkrack.Endpoint{Name: name, Zone: "z", Hint: 1}, Address: "x"})
@@ -97,10 +98,10 @@
 		}
 		next := newGeneration(t, 2, `"attemptsCap":4`, `"attemptsCap":1`)
 		next = &generation.Generation{ID: 2, Settings: next.Settings, Paths: map[string]string{"/b": "a"}}
-		if err := h.StartTrial(next, configtrial.Config{Share: 0.5, FalseUndo: 0.01, DetectableShare: 0.5, Duration: time.Minute}, 1); err != nil {
+		if err := group.StartTrial([]*generation.Generation{next}, configtrial.Config{Share: 0.5, FalseUndo: 0.01, DetectableShare: 0.5, Duration: time.Minute}, 1); err != nil {
 			t.Fatal(err)
 		}
-		if err := h.StartTrial(newGeneration(t, 3, "", ""), configtrial.Config{}, 1); err == nil {
+		if err := group.StartTrial([]*generation.Generation{newGeneration(t, 3, "", "")}, configtrial.Config{}, 1); err == nil {
 			t.Error("a second trial was started during the first")
 		}
 		seen := make(map[int]generation.Stamp)
@@ -116,7 +117,7 @@
 			t.Errorf("keep %v: call of the new generation: %d attempts, want 1", keep, n)
 		}
 		late := arrive("stamped in the trial", seen[1])
-		if err := h.EndTrial(keep); err != nil {
+		if err := group.EndTrial(keep); err != nil {
 			t.Fatal(err)
 		}
 		if n := ends(late); n != 2 {
@@ -132,7 +133,7 @@
 		if _, _, known := h.Route("/b"); known != keep {
 			t.Errorf("keep %v: the path of the new generation is known: %v", keep, known)
 		}
-		if _, _, _, err := h.TrialRuling(); err == nil {
+		if _, _, _, err := group.TrialRuling(); err == nil {
 			t.Error("Rule returned no error after the trial had ended")
 		}
 	}
@@ -147,9 +148,10 @@
 		t.Fatal(err)
 	}
 	defer h.Close()
+	group := core.NewGroup(h)
 	h.ApplyList(&membership.List{Complete: true, Entries: []membership.Entry{{Endpoint: chalkrack.Endpoint{Name: "s0", Zone: "z", Hint: 1}, Address: "x"}}})
 	_, early, _ := h.Route("/u")
-	if err := h.StartTrial(newGeneration(t, 2, `"name":"u"`, `"name":"v"`), configtrial.Config{Share: 0.5, FalseUndo: 0.01, DetectableShare: 0.5, Duration: time.Minute}, 1); err != nil {
+	if err := group.StartTrial([]*generation.Generation{newGeneration(t, 2, `"name":"u"`, `"name":"v"`)}, configtrial.Config{Share: 0.5, FalseUndo: 0.01, DetectableShare: 0.5, Duration: time.Minute}, 1); err != nil {
 		t.Fatal(err)
 	}
 	c := new(countingCaller)
@@ -163,11 +165,11 @@
 			unknown++
 		}
 	}
-	r, class, _, err := h.TrialRuling()
+	r, class, _, err := group.TrialRuling()
 	if err != nil || r.Verdict != configtrial.Undo || class != "u" || r.Calls != unknown {
 		t.Errorf("ruling %+v, class %q, %d calls of an unknown class, error %v", r, class, unknown, err)
 	}
-	if err := h.EndTrial(false); err != nil {
+	if err := group.EndTrial(false); err != nil {
 		t.Fatal(err)
 	}
 	if _, _, known := h.Route("/u"); !known {
@@ -235,8 +237,9 @@
 					t.Fatal(err)
 				}
 				defer h.Close()
+				group := core.NewGroup(h)
 				h.ApplyList(&membership.List{Complete: true, Entries: []membership.Entry{{Endpoint: chalkrack.Endpoint{Name: "s0", Zone: "z", Hint: 1}, Address: "x"}}})
-				if err := h.StartTrial(newGeneration(t, 2, c.next[0], c.next[1]), configtrial.Config{Share: 0.5, FalseUndo: 0.01, DetectableShare: 0.5, Duration: time.Hour}, 1); err != nil {
+				if err := group.StartTrial([]*generation.Generation{newGeneration(t, 2, c.next[0], c.next[1])}, configtrial.Config{Share: 0.5, FalseUndo: 0.01, DetectableShare: 0.5, Duration: time.Hour}, 1); err != nil {
 					t.Fatal(err)
 				}
 				var under generation.Stamp
@@ -246,7 +249,7 @@
 				for n := range 60 {
 					c.call(h, &core.Call{ID: fmt.Sprint(n), Class: "a", Generation: under, Received: time.Now(), Caller: new(countingCaller)}, func() core.Sink { return transport.orders[len(transport.orders)-1].Sink })
 				}
-				r, _, _, err := h.TrialRuling()
+				r, _, _, err := group.TrialRuling()
 				if err != nil || r.Calls != c.calls || (r.Verdict == configtrial.Undo) != c.undo || c.undo && r.Kind != c.kind {
 					t.Errorf("ruling %+v, error %v", r, err)
 				}
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -8,7 +8,7 @@
 
 // newRouting returns the routing, or nil if the operators' file has no routes, pools or listeners.
 func newRouting(c *Config, answerHeads *httphead.Budget, answers *bytebudget.Budget) (*pools.Routing, error) {
-	return pools.New(&pools.Config{Settings: c.Settings, Features: c.Features, Seed: c.Seed, Trace: traceLogger(c), Heads: answerHeads, Answers: answers})
+	return pools.New(&pools.Config{Generation: c.Generation(c.ID()), Features: c.Features, Seed: c.Seed, Trace: traceLogger(c), Heads: answerHeads, Answers: answers})
 }
 
 // maxPoolConns returns the maximum number of connections to servers of all pools together.
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -280,7 +280,11 @@
 }
 
 func (s *sidecar) startTrials() error {
-	s.trials = changes.New(changes.Config{Running: s.cfg, Host: s.host, Pool: s.pool, Front: s.srv, Discovery: s.watcher, Listener: s.ln, Figures: s.figures})
+	paths := []changes.Path{{Host: s.host, Conns: s.pool}}
+	for _, c := range s.routes.Cores() {
+		paths = append(paths, changes.Path{Name: c.Pool, Host: c.Host, Conns: c.Conns, Adapt: c.Adapt})
+	}
+	s.trials = changes.New(changes.Config{Running: s.cfg, Paths: paths, Front: s.srv, Discovery: s.watcher, Listener: s.ln, Figures: s.figures})
 	s.onClose(s.trials.Close)
 	if s.trials.Enabled() {
 		s.addTask(trialCheckInterval, func(time.Time) { s.trials.CheckTrial() })
--- a/internal/generation/bench_test.go
+++ b/internal/generation/bench_test.go
@@ -23,7 +23,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		next := newTestGeneration(b, 2, names, nil)
-		if _, err := m.BeginTrial(0, next, testTrialConfig, 1); err != nil {
+		if _, err := beginTrial(m, next, testTrialConfig, 1); err != nil {
 			b.Fatal(err)
 		}
 		runtime.GC()
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -1,6 +1,9 @@
 // Package generation tracks which configurations a process serves under while one
 // replaces another. It has no I/O, clock, random source or goroutines.
 //
+// Each core of the process has a Machine. Cores that change together prepare the change first, so
+// that all of them take it or none does, and report to one Judge.
+//
 // A generation is one configuration. A call is assigned to a generation when it arrives
 // and keeps it until it ends. During a trial, two generations take calls and a judge
 // (package configtrial) compares them. State that all calls share (cold servers, what
@@ -19,7 +22,7 @@
 )
 
 // Generation is one configuration that calls are served under. It is immutable once New
-// or Machine.BeginTrial has taken it.
+// or Machine.Prepare has taken it.
 type Generation struct {
 	ID       int // assigned by the owner
 	Settings *settings.Settings
@@ -34,6 +37,11 @@
 	classes, tenants map[string]int
 }
 
+// WithSettings returns the generation with other settings, for a core that has some of its own.
+func (g *Generation) WithSettings(s *settings.Settings) *Generation {
+	return &Generation{ID: g.ID, Settings: s, Paths: g.Paths, PassClientErrors: g.PassClientErrors}
+}
+
 // Rules returns the configuration of the decision module for calls under g.
 func (g *Generation) Rules() *chalkrack.Config { return &g.rules }
 
--- a/internal/generation/generation_test.go
+++ b/internal/generation/generation_test.go
@@ -34,6 +34,20 @@
 	return &Generation{ID: id, Settings: testSettings}
 }
 
+// beginTrial prepares a generation and begins its trial, with a judge of its own.
+func beginTrial(m *Machine, next *Generation, cfg configtrial.Config, seed uint64) (rules chalkrack.Config, err error) {
+	change, err := m.Prepare(next)
+	if err != nil {
+		return rules, err
+	}
+	cfg.Classes = change.ClassCount()
+	judge, err := NewJudge(cfg)
+	if err != nil {
+		return rules, err
+	}
+	return m.BeginTrial(change, judge, cfg.Share, seed), nil
+}
+
 var testTrialConfig = configtrial.Config{Share: 0.3, FalseUndo: 0.01, DetectableShare: 0.5, Duration: time.Minute}
 
 // Over any sequence of changes a class keeps its index, a generation's rules do not
@@ -64,7 +78,7 @@
 			case 0:
 				cold := rapid.Float64Range(0, 1).Draw(t, "cold")
 				g := newTestGeneration(t, step+2, names.Draw(t, "next"), func(c *chalkrack.Config) { c.ColdFrom, c.ColdFor = cold, time.Duration(cold*float64(20*time.Second)) })
-				rules, err = m.BeginTrial(0, g, testTrialConfig, 1)
+				rules, err = beginTrial(m, g, testTrialConfig, 1)
 				if (v.Next != nil) != errors.Is(err, ErrTrial) {
 					t.Fatalf("BeginTrial with a trial on: %v: got error %v", v.Next != nil, err)
 				}
@@ -126,7 +140,7 @@
 		t.Fatal(err)
 	}
 	early := m.View().Stamp(0)
-	if _, err := m.BeginTrial(0, next, testTrialConfig, 77); err != nil {
+	if _, err := beginTrial(m, next, testTrialConfig, 77); err != nil {
 		t.Fatal(err)
 	}
 	nextCalls := 0
@@ -152,14 +166,14 @@
 	m.RecordUnknownClass(stampFor(next), "gone")
 	m.RecordUnknownClass(stampFor(next), "never there") // unknown to both generations: a client error
 	m.RecordUnknownClass(stampFor(old), "gone")
-	if r, _, err := m.Evaluate(time.Second); err != nil || r.Calls != 3 || r.Verdict != configtrial.Watching {
-		t.Errorf("%+v, %v", r, err)
+	if r := m.judge.Evaluate(time.Second); r.Calls != 3 || r.Verdict != configtrial.Watching {
+		t.Errorf("%+v", r)
 	}
 	stale := stampFor(next)
 	if _, err := m.EndTrial(false); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := m.BeginTrial(0, newTestGeneration(t, 3, []string{"a"}, nil), testTrialConfig, 78); err != nil {
+	if _, err := beginTrial(m, newTestGeneration(t, 3, []string{"a"}, nil), testTrialConfig, 78); err != nil {
 		t.Fatal(err)
 	}
 	// If calls of an ended trial, or from before any trial, counted, they would hide the
@@ -171,20 +185,20 @@
 	for range 60 {
 		m.RecordFailure(stampFor(m.View().Next), 0, configtrial.Failed)
 	}
-	if r, _, _ := m.Evaluate(time.Second); r.Calls != 60 || r.Verdict != configtrial.Undo {
+	if r := m.judge.Evaluate(time.Second); r.Calls != 60 || r.Verdict != configtrial.Undo {
 		t.Errorf("calls that this trial did not assign count: %+v", r)
 	}
 	if _, err := m.EndTrial(false); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := m.BeginTrial(0, newTestGeneration(t, 4, []string{"a"}, nil), testTrialConfig, 79); err != nil {
+	if _, err := beginTrial(m, newTestGeneration(t, 4, []string{"a"}, nil), testTrialConfig, 79); err != nil {
 		t.Fatal(err)
 	}
 	// A change that removes a class which clients still use is undone.
 	for range 100 {
 		m.RecordUnknownClass(stampFor(m.View().Next), "gone")
 	}
-	if r, _, _ := m.Evaluate(time.Second); r.Verdict != configtrial.Undo || m.Classes()[r.Class] != "gone" {
+	if r := m.judge.Evaluate(time.Second); r.Verdict != configtrial.Undo || m.Classes()[r.Class] != "gone" {
 		t.Errorf("%+v", r)
 	}
 }
@@ -200,20 +214,20 @@
 	for n := range maxNames {
 		many = append(many, fmt.Sprint("class", n))
 	}
-	if _, err := m.BeginTrial(0, newTestGeneration(t, 2, many, nil), testTrialConfig, 1); !errors.Is(err, ErrTooManyNames) {
-		t.Errorf("BeginTrial with too many classes: got error %v, want ErrTooManyNames", err)
+	if _, err := beginTrial(m, newTestGeneration(t, 2, many, nil), testTrialConfig, 1); !errors.Is(err, ErrTooManyNames) {
+		t.Errorf("a trial with too many classes: got error %v, want ErrTooManyNames", err)
 	}
-	if _, err := m.BeginTrial(0, newTestGeneration(t, 2, []string{"b"}, nil), configtrial.Config{}, 1); err == nil {
-		t.Error("BeginTrial accepted an empty configtrial.Config")
+	if _, err := beginTrial(m, newTestGeneration(t, 2, []string{"b"}, nil), configtrial.Config{}, 1); err == nil {
+		t.Error("a trial has an empty configtrial.Config")
 	}
 	if m.View() != v || len(m.Classes()) != 1 {
 		t.Errorf("a rejected trial changed the machine: view %+v, classes %v", m.View(), m.Classes())
 	}
-	if _, _, err := m.Evaluate(0); !errors.Is(err, ErrIdle) {
-		t.Errorf("Rule without a trial: got error %v, want ErrIdle", err)
+	if _, err := m.EndTrial(true); !errors.Is(err, ErrIdle) {
+		t.Errorf("EndTrial without a trial: got error %v, want ErrIdle", err)
 	}
 	// Classes of a change that was undone keep their index and learned state.
-	if _, err := m.BeginTrial(0, newTestGeneration(t, 3, []string{"b"}, nil), testTrialConfig, 1); err != nil {
+	if _, err := beginTrial(m, newTestGeneration(t, 3, []string{"b"}, nil), testTrialConfig, 1); err != nil {
 		t.Fatal(err)
 	}
 	if rules, err := m.EndTrial(false); err != nil || len(rules.Classes) != 2 || rules.Validate() != nil {
--- a/internal/generation/trial.go
+++ b/internal/generation/trial.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"time"
 
 	"chalkrack"
 	"chalkrack/internal/configtrial"
@@ -52,8 +51,7 @@
 type Machine struct {
 	view       *View
 	names      nameTable
-	judge      *configtrial.Judge
-	trialStart time.Duration
+	judge      *Judge // of the trial; nil if there is none
 	trialCount int
 }
 
@@ -74,27 +72,37 @@
 // Classes returns the class names by index. The caller must not change the slice.
 func (m *Machine) Classes() []string { return m.names.classes }
 
-// BeginTrial starts a trial of next beside the current generation, with a judge configured by
-// cfg (BeginTrial sets its Classes). It returns the rules for state that both share. On an
-// error m does not change.
-func (m *Machine) BeginTrial(now time.Duration, next *Generation, cfg configtrial.Config, seed uint64) (chalkrack.Config, error) {
+// Change is a generation that a Machine has checked and can put on trial.
+type Change struct {
+	next  *Generation
+	names nameTable
+	rules chalkrack.Config
+}
+
+// ClassCount returns the number of classes that a judge of the change has to tell apart.
+func (c *Change) ClassCount() int { return len(c.names.classes) }
+
+// Prepare checks a generation as the next one. It does not change m, and the result is valid until
+// the next call of BeginTrial.
+func (m *Machine) Prepare(next *Generation) (*Change, error) {
 	if m.view.Next != nil {
-		return chalkrack.Config{}, ErrTrial
+		return nil, ErrTrial
 	}
 	names, err := m.names.withGeneration(next)
 	if err != nil {
-		return chalkrack.Config{}, err
-	}
-	rules := stricterRules(&m.view.Current.rules, &next.rules) // valid because both are
-	cfg.Classes = len(names.classes)
-	judge, err := configtrial.New(cfg)
-	if err != nil {
-		return chalkrack.Config{}, err
+		return nil, err
 	}
+	return &Change{next, names, stricterRules(&m.view.Current.rules, &next.rules)}, nil // valid because both are
+}
+
+// BeginTrial starts the trial of a prepared change beside the current generation, with the given
+// share of the calls. Machines that change together have one judge. It returns the rules for state
+// that both generations share.
+func (m *Machine) BeginTrial(c *Change, judge *Judge, share float64, seed uint64) chalkrack.Config {
 	m.trialCount++
-	m.names, m.judge, m.trialStart = names, judge, now
-	m.view = &View{Current: m.view.Current, Next: next, trialID: m.trialCount, share: cfg.Share, seed: seed}
-	return rules, nil
+	m.names, m.judge = c.names, judge
+	m.view = &View{Current: m.view.Current, Next: c.next, trialID: m.trialCount, share: share, seed: seed}
+	return c.rules
 }
 
 // inTrial reports whether the outcome of a call counts for the judge: the trial
@@ -126,14 +134,6 @@
 	}
 }
 
-// Evaluate returns the judge's ruling so far and the time since the trial began, or ErrIdle.
-func (m *Machine) Evaluate(now time.Duration) (r configtrial.Result, since time.Duration, err error) {
-	if m.view.Next == nil {
-		return r, 0, ErrIdle
-	}
-	return m.judge.Evaluate(now - m.trialStart), now - m.trialStart, nil
-}
-
 // EndTrial ends the trial: with keep the generation on trial becomes the current one, otherwise
 // the current one stays. It returns the rules that apply from now on, or ErrIdle. Calls in
 // flight keep their generation.
