A change that reduced service, zones or duties would not follow is refused whole

The parts that go on by the settings of the start, with the fields that they copy, are one table now (start_copies.go); a change of such a field is refused with field and part, as it was for [radius] and [bodies].

TestChangesThatNeedRestartAreRefused has a row for a class's worth with [level], which was taken before.

--- a/internal/components/changes/changes_test.go
+++ b/internal/components/changes/changes_test.go
@@ -166,6 +166,9 @@
 		{radius, `"attemptsCap":5`, `"attemptsCap":4`, "settings.caps.attemptsCap"},
 		{"", `"zone":"z"`, `"zone":"y"`, "settings.zone"},
 		{"", `"memory_mb":64`, `"memory_mb":96`, "limits.memory_mb"},
+		{"[level]\nenabled = true\n", `"attemptsCap":5`, `"attemptsCap":4`, ""},
+		{"[level]\nenabled = true\n", `"hardLimitUs":3000000`, `"hardLimitUs":3000000,"worth":2`, "settings.classes[activate].worth"},
+		{"", `"hardLimitUs":3000000`, `"hardLimitUs":3000000,"worth":2`, ""},
 	} {
 		p.Write(t, 5, c.own)
 		running := p.Load(t)
--- a/internal/components/changes/start_copies.go
+++ b/internal/components/changes/start_copies.go
@@ -19,13 +19,25 @@
 var startCopies = []startCopy{
 	{"radius", func(f *features.File) bool { return f.Radius.Enabled }, func(field string) bool { return strings.HasPrefix(field, "settings.") }},
 	{"bodies", func(f *features.File) bool { return f.Bodies.Enabled }, isName},
+	{"level", func(f *features.File) bool { return f.Level.Enabled }, func(field string) bool {
+		return isName(field) || isWorth(field) || field == "settings.caps.maxRetryAfterUs"
+	}},
+	{"zones", func(f *features.File) bool { return f.Zones.Enabled }, func(field string) bool { return isName(field) || isWorth(field) || field == rankField }},
+	{"duty", func(f *features.File) bool { return f.Duty.Enabled }, func(field string) bool { return field == rankField }},
 }
 
+const rankField = "settings.rank"
+
 // isName reports whether a field adds or removes a class or a tenant.
 func isName(field string) bool {
 	return strings.HasPrefix(field, "settings.") && strings.HasSuffix(field, "].name")
 }
 
+// isWorth reports whether a field is the worth of a class.
+func isWorth(field string) bool {
+	return strings.HasPrefix(field, "settings.classes[") && strings.HasSuffix(field, "].worth")
+}
+
 // checkStartCopies returns why changes must wait for the next start, although the cores could take them.
 func checkStartCopies(running *features.File, all []change.Change) (why []error) {
 	for _, ch := range all {
