A server out by hand is out on every path, and called back on every path

Cause: Operation overlaid the platform's list alone; the lists of pools (by discovery and fixed) and of RADIUS went to their cores directly. Ruled out: requests that waited in the pool's queue (they would end with it) and a later list of discovery (the platform's servers would be used again too).

Change: maintenance.Set has a source for each path. A path registers with the Operation and passes its lists to it; each call is applied to all paths before it is answered. A server is known by its name and, where another path has another name for it, by its address; the addresses are part of what is written for the next process, by path. A call back by any of its names puts it back, or is refused with the name that is still out. Backups of a pool are chosen behind the overlay, so they serve for members out by hand. A server called back is cold in a fixed pool without slow_start too, by the platform's terms; one that came up by its checks is warm there, as before.

TestMaxServers gives each server an address of its own now, as lists do: 4,096 servers at one address made each call take time in proportion to them. Its checks are the same. Tests of the Set with one list go through a small adapter, since calls return changes by source.

--- a/internal/components/operating/handover.go
+++ b/internal/components/operating/handover.go
@@ -105,7 +105,7 @@
 		o.applyOperatorState()
 		if o.serving.Load() && !o.quitting {
 			for _, id := range requesting {
-				l := learnedState{Memory: o.config.Host.LearnedState(), List: o.servers.List()}
+				l := learnedState{Memory: o.config.Host.LearnedState(), List: o.platform.List()}
 				if o.config.Zones != nil {
 					l.Zones = o.config.Zones.State()
 				}
@@ -125,9 +125,7 @@
 	if !o.folder.ReadOperatorState(&d) {
 		return
 	}
-	if l := o.servers.Adopt(d.State); l != nil {
-		o.config.ApplyList(l)
-	}
+	o.pass(o.servers.Adopt(d.State))
 	switch _, on := o.drain.Since(); {
 	case d.Drain && !on:
 		o.beginDrain(d.Since)
--- a/internal/components/operating/operating.go
+++ b/internal/components/operating/operating.go
@@ -31,7 +31,7 @@
 	Host      *core.Host
 	Figures   *figures.Figures
 	Pool      *upstream.Pool
-	ApplyList func(*membership.List) // passes lists of servers on to the core
+	ApplyList func(*membership.List) // passes lists of the platform's servers on to the core
 	Zones     ZoneState              // nil if zones are off
 	Limits    Limits
 	// Shared is set if the platform holds the clients' socket for several processes of this
@@ -56,8 +56,10 @@
 
 	serving atomic.Bool
 
-	mu             sync.Mutex // also held while a list is passed to the host, so that lists arrive in order
+	mu             sync.Mutex // also held while a list is passed to a host, so that lists arrive in order
 	servers        *maintenance.Set
+	platform       *maintenance.Source
+	forward        map[*maintenance.Source]func(*membership.List) // passes lists on, by source
 	drain          drain.Machine
 	closingIdle    bool
 	otherProcesses int // processes of this sidecar
@@ -71,7 +73,9 @@
 // New returns an Operation. If the process shares its sidecar with others, it applies the
 // changes that operators made there.
 func New(c Config) *Operation {
-	o := &Operation{config: c, servers: maintenance.New()}
+	o := &Operation{config: c, servers: maintenance.New(), forward: make(map[*maintenance.Source]func(*membership.List))}
+	o.platform = o.servers.AddSource("", tcpNetwork)
+	o.forward[o.platform] = c.ApplyList
 	if c.Shared && c.Tmp != "" {
 		o.openFolder()
 	}
@@ -83,11 +87,50 @@
 
 func unixNow() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
-// ApplyList passes a list from discovery on with the operators' changes applied.
-func (o *Operation) ApplyList(l *membership.List) {
+// Networks of the addresses of servers.
+const (
+	tcpNetwork = "tcp"
+	udpNetwork = "udp"
+)
+
+// AddPool adds the servers of a pool, and returns the function to which the pool's lists have to be
+// passed. It passes them to forward with the operators' changes applied, and each change that operators
+// make. forward is called with a lock held, so it must not call the Operation. The name has to be unique
+// among the pools.
+func (o *Operation) AddPool(name string, forward func(*membership.List)) (applyList func(*membership.List)) {
+	return o.addPath("pool "+name, tcpNetwork, forward)
+}
+
+// AddRadius is AddPool for servers of RADIUS, whose addresses are those of UDP.
+func (o *Operation) AddRadius(name string, forward func(*membership.List)) (applyList func(*membership.List)) {
+	return o.addPath("radius "+name, udpNetwork, forward)
+}
+
+func (o *Operation) addPath(name, network string, forward func(*membership.List)) func(*membership.List) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.config.ApplyList(o.servers.ApplyList(l))
+	src := o.servers.AddSource(name, network)
+	o.forward[src] = forward
+	return func(l *membership.List) { o.applyList(src, l) }
+}
+
+// ApplyList passes a list of the platform's servers from discovery on with the operators' changes
+// applied.
+func (o *Operation) ApplyList(l *membership.List) { o.applyList(o.platform, l) }
+
+func (o *Operation) applyList(src *maintenance.Source, l *membership.List) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	applied, others := o.servers.ApplyList(src, l)
+	o.forward[src](applied)
+	o.pass(others)
+}
+
+// pass passes changed entries on to their paths. The caller holds o.mu.
+func (o *Operation) pass(updates []maintenance.Update) {
+	for _, u := range updates {
+		o.forward[u.Source](u.List)
+	}
 }
 
 // StartServing marks this process as able to serve. A drain that began in another process goes on.
@@ -125,7 +168,7 @@
 // Figures implements management.Handler.
 func (o *Operation) Figures(b []byte) []byte {
 	o.mu.Lock()
-	m := figures.ServerCounts{Discovered: o.servers.Discovered(), Ejected: o.servers.DisabledCount()}
+	m := figures.ServerCounts{Discovered: o.platform.Discovered(), Ejected: o.servers.DisabledCount(o.platform)}
 	o.mu.Unlock()
 	m.Ejected += o.config.Host.Ejected()
 	return o.config.Figures.Append(b, m)
@@ -138,24 +181,22 @@
 
 // Enable implements management.Handler.
 func (o *Operation) Enable(id string) error {
-	return o.changeServer("server enabled by an operator", id, func(id string) (*membership.List, error) {
+	return o.changeServer("server enabled by an operator", id, func(id string) ([]maintenance.Update, error) {
 		return o.servers.Enable(id, unixNow())
 	})
 }
 
-// changeServer changes a server with do, passes the resulting list on and logs logMessage.
-func (o *Operation) changeServer(logMessage, id string, do func(string) (*membership.List, error)) error {
+// changeServer changes a server with do, passes what changes on to all paths and logs logMessage.
+func (o *Operation) changeServer(logMessage, id string, do func(string) ([]maintenance.Update, error)) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.updateOperatorState(func() error {
-		l, err := do(id)
+		updates, err := do(id)
 		if err != nil {
 			return err
 		}
-		if l != nil {
-			o.config.ApplyList(l)
-		}
-		slog.Info(logMessage, "server", id)
+		o.pass(updates)
+		slog.Info(logMessage, "server", id, "paths", len(updates))
 		return nil
 	})
 }
--- a/internal/components/pools/pools.go
+++ b/internal/components/pools/pools.go
@@ -41,9 +41,14 @@
 	// adapt returns the pool's settings under those of the platform.
 	adapt func(platform *settings.Settings) *settings.Settings
 
+	// applyList passes a list of the pool's servers on, with the operators' changes, to the core.
+	applyList func(*membership.List)
+	standby   *pool.Standby // nil if servers come from discovery
+
 	mu        sync.Mutex
 	members   *pool.Pool // nil if servers come from discovery
 	checks    features.PoolChecks
+	warmFor   time.Duration // how long ago a server that came up by its checks counts as started
 	start     time.Time
 	startUnix time.Duration
 	wg        sync.WaitGroup
@@ -58,6 +63,17 @@
 	Trace      *slog.Logger       // receives the traces of calls; may be nil
 	Heads      *httphead.Budget   // for the long heads of answers; nil: a budget for each pool
 	Answers    *bytebudget.Budget // for answers that are held; nil: not bounded
+	// AddPool registers a pool for the operators' calls. It returns the function that takes the pool's
+	// lists of servers and passes them to forward with the operators' changes; nil: there are none.
+	AddPool func(name string, forward func(*membership.List)) (applyList func(*membership.List))
+}
+
+// register returns the function that takes a pool's lists of servers for forward.
+func (c *Config) register(name string, forward func(*membership.List)) func(*membership.List) {
+	if c.AddPool == nil {
+		return forward
+	}
+	return c.AddPool(name, forward)
 }
 
 // Settings returns the platform's settings with the pool's own values applied.
@@ -69,8 +85,11 @@
 		s.Config.MaxAttempts = p.MaxAttempts
 	}
 	if p.Discovery == "" {
-		// For a fixed list, only checks detect that a server has started.
-		s.Config.ColdFor, s.Config.ColdFrom = time.Duration(p.SlowStart), p.ColdShare
+		// For a fixed list, checks and operators' calls show that a server has started. Without a slow
+		// start of the pool's own only the latter count, by the platform's terms.
+		if p.SlowStart > 0 {
+			s.Config.ColdFor, s.Config.ColdFrom = time.Duration(p.SlowStart), p.ColdShare
+		}
 		if s.Config.OverloadFactor == 0 {
 			s.Config.OverloadFactor, s.Config.OverloadFor = 2, time.Second
 		}
@@ -105,20 +124,35 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	if p.Discovery != "" {
-		s.watcher = &discovery.Watcher{Addr: p.Discovery, Timing: discovery.AgentTiming, OnList: s.host.ApplyList, OnError: s.host.DiscoveryFailed}
+		s.applyList = c.register(p.Name, s.host.ApplyList)
+		s.watcher = &discovery.Watcher{Addr: p.Discovery, Timing: discovery.AgentTiming, OnList: s.applyList, OnError: s.host.DiscoveryFailed}
 		s.wg.Go(s.watcher.Run)
 		return s, nil
 	}
+	if err := s.startFixed(ctx, c, p, set.Config.ColdFor); err != nil {
+		s.close()
+		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
+	}
+	return s, nil
+}
+
+// startFixed lists the fixed servers of a pool and starts their checks. coldFor is the time for which a
+// server is cold.
+func (s *serverPool) startFixed(ctx context.Context, c *Config, p *features.Pool, coldFor time.Duration) (err error) {
 	var members []pool.Member
 	for _, m := range p.Servers {
 		members = append(members, pool.Member{Name: m.Name, Address: m.Address, Zone: m.Zone, Weight: m.Weight, Backup: m.Backup})
 	}
 	s.members, err = pool.New(members, pool.Checks{Interval: time.Duration(p.Checks.Interval), Rise: p.Checks.Rise, Fall: p.Checks.Fall})
 	if err != nil {
-		s.close()
-		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
+		return err
 	}
-	s.host.ApplyList(s.members.List())
+	if p.SlowStart == 0 {
+		s.warmFor = coldFor
+	}
+	s.standby = s.members.NewStandby()
+	s.applyList = c.register(p.Name, func(l *membership.List) { s.host.ApplyList(s.standby.Apply(l)) })
+	s.applyList(s.listMembers())
 	if p.Checks.Interval > 0 {
 		for n, m := range members {
 			// Spreads the first checks over the interval so that they don't come in a burst.
@@ -126,7 +160,18 @@
 			s.wg.Go(func() { s.runChecks(ctx, m, first) })
 		}
 	}
-	return s, nil
+	return nil
+}
+
+// listMembers returns the list of a pool's members by their checks. The caller holds s.mu.
+func (s *serverPool) listMembers() *membership.List {
+	l := s.members.List()
+	for n := range l.Entries {
+		if e := &l.Entries[n]; e.Started > 0 {
+			e.Started = max(e.Started-s.warmFor, 1)
+		}
+	}
+	return l
 }
 
 // runChecks checks one member periodically until ctx is done, and passes the list to host
@@ -146,11 +191,9 @@
 			return
 		}
 		s.mu.Lock()
-		var l *membership.List
 		if s.members.RecordResult(s.startUnix+time.Since(s.start), m.Name, err == nil) {
-			l = s.members.List()
 			slog.Info("checks", "pool", s.name, "server", m.Name, "up", err == nil, "err", err)
-			s.host.ApplyList(l) // under the lock, to keep the lists in order
+			s.applyList(s.listMembers()) // under the lock, to keep the lists in order
 		}
 		s.mu.Unlock()
 	}
@@ -227,7 +270,7 @@
 	}
 	if s.members != nil {
 		s.mu.Lock()
-		st.Servers = s.members.View()
+		st.Servers = s.members.View(s.standby.IsServing)
 		s.mu.Unlock()
 	}
 	return st
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -4,11 +4,13 @@
 	"chalkrack/internal/bytebudget"
 	"chalkrack/internal/components/pools"
 	"chalkrack/internal/httphead"
+	"chalkrack/internal/membership"
 )
 
 // newRouting returns the routing, or nil if the operators' file has no routes, pools or listeners.
-func newRouting(c *Config, answerHeads *httphead.Budget, answers *bytebudget.Budget) (*pools.Routing, error) {
-	return pools.New(&pools.Config{Generation: c.Generation(c.ID()), Features: c.Features, Seed: c.Seed, Trace: traceLogger(c), Heads: answerHeads, Answers: answers})
+// addPool registers each pool for the operators' calls; nil: there are none.
+func newRouting(c *Config, answerHeads *httphead.Budget, answers *bytebudget.Budget, addPool func(string, func(*membership.List)) func(*membership.List)) (*pools.Routing, error) {
+	return pools.New(&pools.Config{AddPool: addPool, Generation: c.Generation(c.ID()), Features: c.Features, Seed: c.Seed, Trace: traceLogger(c), Heads: answerHeads, Answers: answers})
 }
 
 // maxPoolConns returns the maximum number of connections to servers of all pools together.
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -227,7 +227,7 @@
 	if !c.Features.Radius.Enabled {
 		return nil
 	}
-	s.radiusProxy, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Platform: c.Settings.Config, DrainGrace: c.Settings.DrainGrace, Seed: c.Seed})
+	s.radiusProxy, err = proxy.New(proxy.Config{Radius: c.Features.Radius, Platform: c.Settings.Config, DrainGrace: c.Settings.DrainGrace, Seed: c.Seed, AddServers: s.operation.AddRadius})
 	if err != nil {
 		return err
 	}
@@ -237,7 +237,7 @@
 }
 
 func (s *sidecar) startRouting() (err error) {
-	if s.routes, err = newRouting(s.cfg, s.answerHeads, s.answers); err != nil {
+	if s.routes, err = newRouting(s.cfg, s.answerHeads, s.answers, s.operation.AddPool); err != nil {
 		return err
 	}
 	s.onClose(s.routes.Close)
--- a/internal/daemon/upgrade_test.go
+++ b/internal/daemon/upgrade_test.go
@@ -39,7 +39,7 @@
 func (s *sidecar) start(t *testing.T) *rig.Daemon {
 	t.Helper()
 	s.seed++
-	d, err := s.site.StartDaemonOnSocket(s.seed, s.socket, s.duties)
+	d, err := s.site.StartDaemonOnSocket(s.seed, s.socket, s.duties, "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -14,7 +14,7 @@
 )
 
 func entry(name string, state chalkrack.State) membership.Entry {
-	return membership.Entry{Endpoint: chalkrack.Endpoint{Name: name, State: state, Started: 5}, Address: "h:1"}
+	return membership.Entry{Endpoint: chalkrack.Endpoint{Name: name, State: state, Started: 5}, Address: name + ":1"}
 }
 
 func wholeList(names ...string) *membership.List {
@@ -25,6 +25,48 @@
 	return l
 }
 
+// oneSource is a Set with one source, whose lists of changes it returns.
+type oneSource struct {
+	*Set
+	source *Source
+}
+
+func newOneSource() *oneSource {
+	s := New()
+	return &oneSource{s, s.AddSource("", "tcp")}
+}
+
+// only returns the list of updates that must be of one source, nil if there are none.
+func only(updates []Update) *membership.List {
+	switch len(updates) {
+	case 0:
+		return nil
+	case 1:
+		return updates[0].List
+	}
+	panic("updates of several sources")
+}
+
+func (s *oneSource) ApplyList(l *membership.List) *membership.List {
+	applied, others := s.Set.ApplyList(s.source, l)
+	if len(others) > 0 {
+		panic("a list of the only source changes others")
+	}
+	return applied
+}
+
+func (s *oneSource) Disable(id string) (*membership.List, error) {
+	updates, err := s.Set.Disable(id)
+	return only(updates), err
+}
+
+func (s *oneSource) Enable(id string, now time.Duration) (*membership.List, error) {
+	updates, err := s.Set.Enable(id, now)
+	return only(updates), err
+}
+
+func (s *oneSource) Adopt(st State) *membership.List { return only(s.Set.Adopt(st)) }
+
 func checkEntry(t *testing.T, l *membership.List, name string, state chalkrack.State, started time.Duration) {
 	t.Helper()
 	if l == nil {
@@ -44,7 +86,7 @@
 // A disabled server stays draining through any list from discovery, and an enabled one
 // stays recently started. Both would be lost if a new list replaced the operators' changes.
 func TestDisableAndEnable(t *testing.T) {
-	s := New()
+	s := newOneSource()
 	s.ApplyList(wholeList("a", "b"))
 	if _, err := s.Disable("c"); !errors.Is(err, ErrUnknownServer) {
 		t.Errorf("Disable of an unknown server: %v", err)
@@ -62,8 +104,8 @@
 	}
 	// The server leaves the list, is listed again under its id, and is serving.
 	s.ApplyList(&membership.List{Entries: []membership.Entry{entry("a", chalkrack.Gone)}})
-	if s.DisabledCount() != 0 || s.Discovered() != 1 {
-		t.Errorf("%d disabled, %d listed, want 0 and 1", s.DisabledCount(), s.Discovered())
+	if s.DisabledCount(s.source) != 0 || s.source.Discovered() != 1 {
+		t.Errorf("%d disabled, %d listed, want 0 and 1", s.DisabledCount(s.source), s.source.Discovered())
 	}
 	checkEntry(t, s.ApplyList(&membership.List{Entries: []membership.Entry{entry("a", chalkrack.Serving)}}), "a", chalkrack.Draining, 5)
 	checkEntry(t, s.ApplyList(wholeList("a", "b")), "a", chalkrack.Draining, 5)
@@ -92,7 +134,7 @@
 func TestTwoProcessesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		names := []string{"a", "b", "c"}
-		sets := [2]*Set{New(), New()}
+		sets := [2]*oneSource{newOneSource(), newOneSource()}
 		used := [2]map[string]membership.Entry{{}, {}}
 		deliver := func(n int, l *membership.List) {
 			if l == nil {
@@ -141,7 +183,7 @@
 // At most MaxServers servers are disabled or remembered as enabled, however many calls are
 // made. Without the bound the state would grow with each server that is ever disabled.
 func TestMaxServers(t *testing.T) {
-	s := New()
+	s := newOneSource()
 	var names []string
 	for n := range MaxServers + 1 {
 		names = append(names, fmt.Sprint(n))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -122,31 +122,18 @@
 	return true
 }
 
-// List returns all members with their current state. Those that are up and not draining
-// are serving; backups serve only if no other member does. The rest are listed as draining, so
-// that their calls in progress can finish. A member that came up by its checks counts as
-// just started.
+// List returns all members with the state that checks and operators have given them. Those that
+// are up and not draining are serving, backups too: Standby holds these back. The rest are listed
+// as draining, so that their calls in progress can finish. A member that came up by its checks
+// counts as just started.
 func (p *Pool) List() *membership.List {
 	l := &membership.List{Complete: true}
-	serving := 0
-	for _, backup := range []bool{false, true} {
-		for _, s := range p.members {
-			if s.Backup != backup {
-				continue
-			}
-			e := membership.Entry{Endpoint: chalkrack.Endpoint{Name: s.Name, Zone: s.Zone, Hint: s.Weight, Started: s.upSince, State: chalkrack.Draining}, Address: s.Address}
-			if s.up && !s.draining && (!backup || serving == 0) {
-				e.State = chalkrack.Serving
-			}
-			l.Entries = append(l.Entries, e)
-		}
-		if !backup {
-			for _, e := range l.Entries {
-				if e.State == chalkrack.Serving {
-					serving++
-				}
-			}
+	for _, s := range p.members {
+		e := membership.Entry{Endpoint: chalkrack.Endpoint{Name: s.Name, Zone: s.Zone, Hint: s.Weight, Started: s.upSince, State: chalkrack.Draining}, Address: s.Address}
+		if s.up && !s.draining {
+			e.State = chalkrack.Serving
 		}
+		l.Entries = append(l.Entries, e)
 	}
 	return l
 }
@@ -161,15 +148,12 @@
 	Serving  bool   `json:"serving"`
 }
 
-// View returns the states of all members, in the configured order.
-func (p *Pool) View() []View {
-	serving := make(map[string]bool)
-	for _, e := range p.List().Entries {
-		serving[e.Name] = e.State == chalkrack.Serving
-	}
+// View returns the states of all members, in the configured order. isServing tells which members may
+// get calls.
+func (p *Pool) View(isServing func(name string) bool) []View {
 	var all []View
 	for _, s := range p.members {
-		all = append(all, View{s.Name, s.Address, s.up, s.Backup, s.draining, serving[s.Name]})
+		all = append(all, View{s.Name, s.Address, s.up, s.Backup, s.draining, isServing(s.Name)})
 	}
 	return all
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -9,11 +9,19 @@
 	"pgregory.net/rapid"
 
 	"chalkrack"
+	"chalkrack/internal/membership"
 )
 
+// serving returns the whole list with the backups that are held back, and a test for its servers.
+func serving(p *Pool) (*membership.List, func(name string) bool) {
+	s := p.NewStandby()
+	return s.Apply(p.List()), s.IsServing
+}
+
 func servingNames(p *Pool) string {
 	var all []string
-	for _, e := range p.List().Entries {
+	l, _ := serving(p)
+	for _, e := range l.Entries {
 		if e.State == chalkrack.Serving {
 			all = append(all, e.Name)
 		}
@@ -50,7 +58,8 @@
 	if !p.SetDraining("b", true) || servingNames(p) != "s" || p.SetDraining("none", true) {
 		t.Errorf("serving %q after draining b, want s; or an unknown member was drained", servingNames(p))
 	}
-	if v := p.View(); !v[1].Up || v[1].Serving || !v[2].Serving {
+	_, isServing := serving(p)
+	if v := p.View(isServing); !v[1].Up || v[1].Serving || !v[2].Serving {
 		t.Errorf("views %+v, want b up and not serving, s serving", v)
 	}
 }
@@ -92,12 +101,12 @@
 			if !changed && servingNames(p) != before {
 				t.Fatal("the serving members changed although RecordResult reported no change")
 			}
-			l := p.List()
+			l, isServing := serving(p)
 			if len(l.Entries) != n || !l.Complete {
 				t.Fatalf("the list has %d entries of %d members, or is not whole", len(l.Entries), n)
 			}
 			first, backups, up := 0, 0, 0
-			for _, v := range p.View() {
+			for _, v := range p.View(isServing) {
 				switch {
 				case v.Serving && !v.Up:
 					t.Fatalf("member %s is down and serving", v.Name)
@@ -116,3 +125,39 @@
 		}
 	})
 }
+
+// Guards against a pool without service: a backup serves while operators, and not checks, have taken
+// the other members out, one after the other, and is held back as soon as one of them is there again.
+func TestBackupServesForMembersOutByHand(t *testing.T) {
+	p, err := New([]Member{{Name: "a", Address: "x"}, {Name: "b", Address: "y"}, {Name: "s", Address: "z", Backup: true}}, Checks{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := p.NewStandby()
+	listed := p.List().Entries
+	s.Apply(&membership.List{Complete: true, Entries: listed})
+	for _, step := range []struct {
+		member int
+		state  chalkrack.State
+		want   string
+	}{
+		{0, chalkrack.Draining, "b"}, {1, chalkrack.Draining, "s"}, {2, chalkrack.Draining, ""},
+		{2, chalkrack.Serving, "s"}, {0, chalkrack.Serving, "a"}, {1, chalkrack.Serving, "a b"},
+	} {
+		e := listed[step.member]
+		e.State = step.state
+		l := s.Apply(&membership.List{Entries: []membership.Entry{e}})
+		var all []string
+		for _, e := range l.Entries {
+			if (e.State == chalkrack.Serving) != s.IsServing(e.Name) {
+				t.Errorf("%s: state %v, serving %v", e.Name, e.State, s.IsServing(e.Name))
+			}
+			if e.State == chalkrack.Serving {
+				all = append(all, e.Name)
+			}
+		}
+		if got := strings.Join(all, " "); got != step.want || !l.Complete || len(l.Entries) != 3 {
+			t.Errorf("%+v: %q serve, want %q", step, got, step.want)
+		}
+	}
+}
--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -36,6 +36,10 @@
 	DrainGrace time.Duration // how long a server that discovery has removed may still get new attempts
 	Seed       uint64        // for the random choices of the decision modules
 
+	// AddServers registers the servers of a realm for the operators' calls. It returns the function that
+	// takes their lists and passes them to forward with the operators' changes; nil: there are none.
+	AddServers func(name string, forward func(*membership.List)) (applyList func(*membership.List))
+
 	// Listen and Dial replace UDP sockets in tests. If nil, UDP is used.
 	Listen func(address string) listener.Conn
 	Dial   func(netip.AddrPort) (transport.Conn, error)
@@ -64,6 +68,7 @@
 type realmPool struct {
 	host      *core.Host
 	transport *transport.Transport
+	applyList func(*membership.List) // passes a list on, with the operators' changes, to host
 
 	// probes is a separate transport from which no server is ever removed, so that a server
 	// that is down is still probed.
@@ -143,14 +148,18 @@
 			return fmt.Errorf("radius: cannot set up the servers of a realm: %w", err)
 		}
 		service.pools[realm] = pool
+		pool.applyList = pool.host.ApplyList
+		if p.cfg.AddServers != nil {
+			pool.applyList = p.cfg.AddServers(name+" "+realm, pool.host.ApplyList)
+		}
 		pool.servers = entries
 		if discoveryAddr == "" {
 			pool.applyServers(0)
 		}
 	}
 	if discoveryAddr != "" {
-		host := service.pools[""].host
-		service.watcher = &discovery.Watcher{Addr: discoveryAddr, Timing: discovery.AgentTiming, OnList: host.ApplyList, OnError: host.DiscoveryFailed}
+		pool := service.pools[""]
+		service.watcher = &discovery.Watcher{Addr: discoveryAddr, Timing: discovery.AgentTiming, OnList: pool.applyList, OnError: pool.host.DiscoveryFailed}
 	}
 	var clients []listener.Client
 	for _, client := range section.Clients {
@@ -263,7 +272,7 @@
 			entry.Started = probeStart + upSince
 		}
 	}
-	p.host.ApplyList(list)
+	p.applyList(list)
 }
 
 // probeServers sends a Status-Server packet to each server of a fixed list once per
--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -93,8 +93,8 @@
 
 // StartDaemonOnSocket runs a daemon within this process that accepts clients from a listening
 // socket. Other daemons of the same sidecar may share the socket and the folder for temporary
-// files.
-func (s *Site) StartDaemonOnSocket(seed uint64, socket *net.TCPListener, sharedDir string) (*Daemon, error) {
+// files. features is the text of its features file.
+func (s *Site) StartDaemonOnSocket(seed uint64, socket *net.TCPListener, sharedDir, features string) (*Daemon, error) {
 	file, err := socket.File() // a duplicate is passed on: the daemon closes its descriptor
 	if err != nil {
 		return nil, err
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.startInProcess(nil, seed, "", map[string]string{"BALANCER_FD": strconv.Itoa(fd), "TMPDIR": sharedDir})
+	return s.startInProcess(nil, seed, features, map[string]string{"BALANCER_FD": strconv.Itoa(fd), "TMPDIR": sharedDir})
 }
 
 // startInProcess is StartDaemonWithDisk with environment variables that override the daemon's own.
--- /dev/null
+++ b/internal/rig/disable_paths_test.go
@@ -0,0 +1,186 @@
+package rig_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chalkrack/internal/rig"
+	"chalkrack/internal/standin"
+)
+
+// operate sends an operators' call to a daemon and returns the answer.
+func (s *pathSite) operate(daemon *rig.Daemon, line string) string {
+	s.Helper()
+	conn, err := net.Dial("tcp", daemon.ManagementAddr)
+	if err != nil {
+		s.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(testTimeout))
+	fmt.Fprintln(conn, line)
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		s.Fatal(err)
+	}
+	return strings.TrimSpace(string(answer))
+}
+
+// warmSite is a site whose servers count as warm until they are called back, and are cold for a long
+// time then.
+func warmSite() rig.SiteConfig {
+	cfg := rig.SiteConfig{Classes: rig.LongDeadlineClasses(), WarmUpTime: time.Minute, ColdShare: 0.1, StartWarm: true, NoInitialList: true}
+	cfg.Server.FallFactor, cfg.Server.FallFor = 4, 2*time.Second
+	return cfg
+}
+
+// listAllAsOld has discovery list all servers with a start that is long ago.
+func (s *pathSite) listAllAsOld() {
+	for n := range s.site.Servers {
+		e := s.site.Endpoint(n, "up")
+		e.SinceMs = 0
+		s.site.Discovery.Change(e)
+	}
+}
+
+// callsByServer sends calls on a path, of a class that must run once and of one that is safe, and
+// returns how many came to each server.
+func (s *pathSite) callsByServer(path string, calls int) map[string]int {
+	s.Helper()
+	before := len(s.site.Ledger.Arrivals())
+	var load sync.WaitGroup
+	for n := range calls {
+		class := standin.Class{Name: "activate", Effect: standin.Unsafe}
+		if n%2 == 0 {
+			class = standin.Class{Name: "status-check", Effect: standin.Safe}
+		}
+		load.Go(func() {
+			if id, reply := s.call(path, class); reply.Status != 200 {
+				s.Errorf("%s: %+v", id, reply)
+			}
+		})
+		if n%4 == 3 {
+			load.Wait()
+		}
+	}
+	load.Wait()
+	byServer := make(map[string]int)
+	for _, a := range s.site.Ledger.Arrivals()[before:] {
+		byServer[a.Server]++
+	}
+	return byServer
+}
+
+// checkUnused sends calls on all paths, none of which may come to a server.
+func (s *pathSite) checkUnused(step, server string) {
+	s.Helper()
+	for path := range s.clients {
+		if calls := s.callsByServer(path, 24); calls[server] > 0 {
+			s.Errorf("%s: path %s: calls by server %v, want none to %s", step, path, calls, server)
+		}
+	}
+}
+
+// checkCold sends calls on all paths; a server gets some of them, and far fewer than one that is warm.
+func (s *pathSite) checkCold(step, server string) {
+	s.Helper()
+	for path := range s.clients {
+		total := 0
+		for end := time.Now().Add(testTimeout); total == 0; {
+			calls := s.callsByServer(path, 60)
+			if total = calls[server]; total > 12 {
+				s.Errorf("%s: path %s: calls by server %v, want a few to %s", step, path, calls, server)
+			}
+			if time.Now().After(end) {
+				s.Errorf("%s: path %s: %s gets no calls", step, path, server)
+				break
+			}
+		}
+	}
+}
+
+// Guards against a server out by hand that some paths go on using: from the yes on no new call comes to
+// it on any path, also under another name at its address, whatever discovery says; the call back puts
+// it back on all of them, cold.
+func TestDisabledServerGetsNothingOnAnyPath(t *testing.T) {
+	s := newPathServers(t, warmSite())
+	s.listAllAsOld()
+	listener := unusedAddress(t)
+	fixed := []*standin.Server{s.fixed[0], s.site.Servers[1], s.fixed[2]} // r2 is the platform's s2
+	var err error
+	if s.daemon, err = s.site.StartDaemon(1, s.features(fixed)+fmt.Sprintf("[[listeners]]\nname = \"inner\"\naddress = %q\n", listener)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.daemon.Stop() })
+	s.connect(s.daemon.Addr, listener)
+	for path := range s.clients {
+		if calls := s.callsByServer(path, 60); calls["s2"] < 5 {
+			t.Errorf("at the start: path %s: calls by server %v", path, calls)
+		}
+	}
+	if answer := s.operate(s.daemon, "DISABLE s9"); !strings.HasPrefix(answer, "NO") {
+		t.Errorf("a server that nobody has: %s", answer)
+	}
+	for _, id := range []string{"s2", "r2", "s2"} { // twice; r2 is the same server by its other name
+		if answer := s.operate(s.daemon, "DISABLE "+id); answer != "YES" {
+			t.Fatalf("DISABLE %s: %s", id, answer)
+		}
+	}
+	s.checkUnused("disabled", "s2")
+	gone := s.site.Endpoint(1, "gone")
+	s.site.Discovery.Change(gone)
+	s.checkUnused("gone from discovery", "s2")
+	s.listAllAsOld()
+	s.checkUnused("listed again", "s2")
+	if answer := s.operate(s.daemon, "ENABLE s2"); answer != "YES" {
+		t.Fatalf("ENABLE s2: %s", answer)
+	}
+	s.checkCold("called back", "s2")
+}
+
+// Guards against a server out by hand that the next process of an upgrade uses: calls to either process
+// hold in both, on all paths, and so does the call back.
+func TestDisabledServerGetsNothingOverUpgrade(t *testing.T) {
+	s := newPathServers(t, warmSite())
+	s.listAllAsOld()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	dir, features := t.TempDir(), s.features([]*standin.Server{s.fixed[0], s.site.Servers[1], s.fixed[2]})
+	start := func(seed uint64) *rig.Daemon {
+		daemon, err := s.site.StartDaemonOnSocket(seed, socket.(*net.TCPListener), dir, features)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { daemon.Stop() })
+		return daemon
+	}
+	old := start(1)
+	s.connect(socket.Addr().String(), "")
+	if answer := s.operate(old, "DISABLE s2"); answer != "YES" {
+		t.Fatalf("DISABLE s2: %s", answer)
+	}
+	s.site.Discovery.Change(s.site.Endpoint(1, "gone")) // the next process doesn't hear of it
+	next := start(2)
+	s.checkUnused("both processes", "s2")
+	if err := old.Stop(); err != nil {
+		t.Error(err)
+	}
+	s.checkUnused("the next process", "s2")
+	s.listAllAsOld()
+	s.checkUnused("listed again", "s2")
+	last := start(3)
+	if answer := s.operate(last, "ENABLE s2"); answer != "YES" {
+		t.Fatalf("ENABLE s2: %s", answer)
+	}
+	if err := next.Stop(); err != nil {
+		t.Error(err)
+	}
+	s.checkCold("called back", "s2")
+}
--- a/internal/rig/paths_test.go
+++ b/internal/rig/paths_test.go
@@ -36,12 +36,8 @@
 // pathNames are the names of the paths.
 var pathNames = []string{"platform", "fixed", "followed", "queued", "listener"}
 
-// platformPaths are the paths that lead to the platform's servers.
-var platformPaths = []string{"platform", "followed", "queued", "listener"}
-
-// newPathSite starts a site with its daemon; trial is the length of a configuration's trial, and
-// fixedServers replaces the entries of the fixed pool if it is not nil.
-func newPathSite(t *testing.T, cfg rig.SiteConfig, trial time.Duration, fixedServers func(s *pathSite) string) *pathSite {
+// newPathServers starts the servers of a site, and no daemon.
+func newPathServers(t *testing.T, cfg rig.SiteConfig) *pathSite {
 	t.Helper()
 	cfg.Servers, cfg.NoHedge, cfg.HasManagement = 3, true, true
 	site, err := rig.NewSite(cfg)
@@ -50,7 +46,6 @@
 	}
 	t.Cleanup(site.Close)
 	s := &pathSite{T: t, site: site, socket: filepath.Join(t.TempDir(), "s"), clients: make(map[string]*standin.Client)}
-	var entries []string
 	for n := range 3 {
 		server, err := standin.NewServer(standin.ServerConfig{Name: fmt.Sprint("r", n+1), Ledger: site.Ledger})
 		if err != nil {
@@ -58,18 +53,18 @@
 		}
 		t.Cleanup(server.Close)
 		s.fixed = append(s.fixed, server)
-		entries = append(entries, fmt.Sprintf("{ name = %q, address = %q }", server.Name(), server.Addr()))
 	}
-	if fixedServers != nil {
-		entries = []string{fixedServers(s)}
+	return s
+}
+
+// features returns the text of a features file with the pools and their routes. The servers of the
+// fixed pool have the names r1 to r3.
+func (s *pathSite) features(fixed []*standin.Server) string {
+	var entries []string
+	for n, server := range fixed {
+		entries = append(entries, fmt.Sprintf("{ name = \"r%d\", address = %q }", n+1, server.Addr()))
 	}
-	listener := unusedAddress(t)
 	features := fmt.Sprintf(`version = 1
-[admin]
-socket = %q
-[config]
-enabled = true
-bake = %q
 [[pools]]
 name = "fixed"
 servers = [%s]
@@ -78,29 +73,46 @@
 discovery = %q
 [[pools]]
 name = "queued"
-discovery = %[4]q
+discovery = %[2]q
 max_active = 2
 max_waiting = 64
 queue_wait = "10s"
-[[listeners]]
-name = "inner"
-address = %q
-`, s.socket, trial, strings.Join(entries, ", "), site.Discovery.Addr(), listener)
+`, strings.Join(entries, ", "), s.site.Discovery.Addr())
 	for _, pool := range []string{"fixed", "followed", "queued"} {
 		features += fmt.Sprintf("[[routes]]\nname = %q\nheaders = [{ name = \"x-pool\", value = %[1]q }]\npool = %[1]q\n", pool)
 	}
-	if s.daemon, err = site.StartDaemon(1, features); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { s.daemon.Stop() })
+	return features
+}
+
+// connect makes the clients of all paths, and waits until each path has servers. An empty listener
+// leaves the further listener out.
+func (s *pathSite) connect(addr, listener string) {
+	s.Helper()
 	for _, path := range pathNames {
-		addr := s.daemon.Addr
+		to := addr
 		if path == "listener" {
-			addr = listener
+			if to = listener; to == "" {
+				continue
+			}
 		}
-		s.clients[path] = standin.NewClient(addr)
-		t.Cleanup(s.clients[path].Close)
+		s.clients[path] = standin.NewClient(to)
+		s.Cleanup(s.clients[path].Close)
 	}
+	s.waitForServers()
+}
+
+// newPathSite starts a site with its daemon; trial is the length of a configuration's trial.
+func newPathSite(t *testing.T, cfg rig.SiteConfig, trial time.Duration) *pathSite {
+	t.Helper()
+	s := newPathServers(t, cfg)
+	listener := unusedAddress(t)
+	features := s.features(s.fixed) + fmt.Sprintf("[admin]\nsocket = %q\n[config]\nenabled = true\nbake = %q\n[[listeners]]\nname = \"inner\"\naddress = %q\n", s.socket, trial, listener)
+	var err error
+	if s.daemon, err = s.site.StartDaemon(1, features); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.daemon.Stop() })
+	s.connect(s.daemon.Addr, listener)
 	return s
 }
 
@@ -127,7 +139,7 @@
 // waitForServers waits until each path of the platform's servers has a list.
 func (s *pathSite) waitForServers() {
 	s.Helper()
-	for _, path := range pathNames {
+	for path := range s.clients {
 		for end := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
 			_, reply := s.call(path, standin.Class{Name: "status-check", Effect: standin.Safe})
 			if reply.Status == 200 {
@@ -204,8 +216,7 @@
 // Guards against a change of the configuration that some paths to servers don't follow, while it is
 // reported as kept: calls of a class that must not run twice any more were repeated in pools.
 func TestKeptChangeAppliesOnEveryPath(t *testing.T) {
-	s := newPathSite(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()}, 300*time.Millisecond, nil)
-	s.waitForServers()
+	s := newPathSite(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()}, 300*time.Millisecond)
 	resetFirst := standin.Sequence(standin.Action{Kind: standin.ResetLate}, standin.Action{})
 	s.setScripts(resetFirst)
 	for _, path := range pathNames {
@@ -234,8 +245,7 @@
 // Guards against a trial that looks at the platform's servers only: calls of each path are given to
 // both configurations, the failures of a single pool undo the change, and the undo applies everywhere.
 func TestTrialAndUndoApplyOnEveryPath(t *testing.T) {
-	s := newPathSite(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()}, time.Hour, nil)
-	s.waitForServers()
+	s := newPathSite(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()}, time.Hour)
 	id := s.propose(makeOnce)
 	for _, path := range pathNames {
 		configs := make(map[int]int)
@@ -269,8 +279,7 @@
 // Guards against calls that are lost to a change or its undo: calls that are at servers or wait in a
 // queue meanwhile are all served, each under the configuration that it came under.
 func TestChangeLosesNoWaitingCall(t *testing.T) {
-	s := newPathSite(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()}, time.Hour, nil)
-	s.waitForServers()
+	s := newPathSite(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()}, time.Hour)
 	s.setScripts(standin.Always(standin.Action{Delay: 60 * time.Millisecond}))
 	var mu sync.Mutex
 	served := make(map[int]int)
--- a/internal/rig/upgrade_ids_test.go
+++ b/internal/rig/upgrade_ids_test.go
@@ -28,7 +28,7 @@
 	defer listener.Close()
 	dir := t.TempDir()
 	for seed := range 2 {
-		daemon, err := site.StartDaemonOnSocket(uint64(seed+1), listener.(*net.TCPListener), dir)
+		daemon, err := site.StartDaemonOnSocket(uint64(seed+1), listener.(*net.TCPListener), dir, "")
 		if err != nil {
 			t.Fatal(err)
 		}
