Pools at the platform's discovery follow it when SIGHUP moves it

A pool that follows the same discovery went on asking the old address, which takes no connection then, and never heard of a drain again.

Change: what watches the address that the platform's discovery had (pools by discovery, RADIUS) moves with it. A pool at another address stays there.

--- a/internal/components/changes/changes.go
+++ b/internal/components/changes/changes.go
@@ -53,8 +53,11 @@
 	Paths     []Path // all ways to servers over HTTP; the platform's is the first
 	Front     *front.Server
 	Discovery *discovery.Watcher
-	Listener  net.Listener     // for clients
-	Figures   *figures.Figures // metrics; nil for none
+	// OnDiscoveryMoved is called when the address of discovery has changed, for what follows the same
+	// discovery on other paths; nil: there is none.
+	OnDiscoveryMoved func(from, to string)
+	Listener         net.Listener     // for clients
+	Figures          *figures.Figures // metrics; nil for none
 }
 
 // Manager owns the current configuration, the one on trial and their listeners. All its
@@ -69,6 +72,8 @@
 	srv     *front.Server
 	watcher *discovery.Watcher
 
+	onDiscoveryMoved func(from, to string)
+
 	listener, trialListener net.Listener // trialListener is nil if the trial uses listener
 
 	startTime       time.Time    // start of this process, and of a trial without a configuration to compare with
@@ -87,7 +92,7 @@
 
 // New returns a Manager for the running configuration.
 func New(c Config) *Manager {
-	return &Manager{current: c.Running, paths: c.Paths, cores: coresOf(c.Paths), srv: c.Front, watcher: c.Discovery, listener: c.Listener, figures: c.Figures, startTime: time.Now(), requests: make(chan Request), done: make(chan struct{})}
+	return &Manager{current: c.Running, paths: c.Paths, cores: coresOf(c.Paths), srv: c.Front, watcher: c.Discovery, onDiscoveryMoved: c.OnDiscoveryMoved, listener: c.Listener, figures: c.Figures, startTime: time.Now(), requests: make(chan Request), done: make(chan struct{})}
 }
 
 // Running returns the current configuration; during a trial, the one before it.
--- a/internal/components/changes/files.go
+++ b/internal/components/changes/files.go
@@ -32,9 +32,13 @@
 		return
 	}
 	if next.Discovery != g.current.Discovery {
-		slog.Info("address of discovery changed", "from", g.current.Discovery, "to", next.Discovery)
+		from := g.current.Discovery
+		slog.Info("address of discovery changed", "from", from, "to", next.Discovery)
 		g.current.Discovery = next.Discovery
 		g.watcher.SetAddr(next.Discovery)
+		if g.onDiscoveryMoved != nil {
+			g.onDiscoveryMoved(from, next.Discovery)
+		}
 	}
 	if !g.Enabled() {
 		g.logDifferences(next)
--- a/internal/components/pools/routing.go
+++ b/internal/components/pools/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -137,6 +138,18 @@
 	}
 }
 
+// FollowDiscovery moves the pools that follow the discovery at one address to another address.
+func (r *Routing) FollowDiscovery(from, to string) {
+	if r == nil {
+		return
+	}
+	for _, p := range r.ordered {
+		if p.watcher != nil && p.watcher.Follow(from, to) {
+			slog.Info("a pool follows the platform's discovery to its new address", "pool", p.name, "from", from, "to", to)
+		}
+	}
+}
+
 // Sweep closes the pools' connections that have been idle for too long.
 func (r *Routing) Sweep(now time.Time) {
 	if r != nil {
--- a/internal/daemon/radius_disable_test.go
+++ b/internal/daemon/radius_disable_test.go
@@ -1,9 +1,7 @@
 package daemon_test
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -13,22 +11,6 @@
 	lr "layeh.com/radius"
 )
 
-// operateOn sends an operators' call to a management address and fails the test unless it is answered
-// with YES.
-func operateOn(t *testing.T, addr, line string) {
-	t.Helper()
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(20 * time.Second))
-	fmt.Fprintln(conn, line)
-	if answer, err := bufio.NewReader(conn).ReadString('\n'); err != nil || answer != "YES\n" {
-		t.Fatalf("%s: %q, %v", line, answer, err)
-	}
-}
-
 // Guards against a server out by hand that RADIUS goes on using: from the yes on neither access nor an
 // accounting event comes to it, whether servers are fixed or come from discovery; called back, it is
 // served again, cold.
@@ -73,6 +55,11 @@
 				t.Fatal(err)
 			}
 			defer d.Stop()
+			operate := func(line string) {
+				if answer, err := d.Operate(line); err != nil || answer != "YES" {
+					t.Fatalf("%s: %q, %v", line, answer, err)
+				}
+			}
 			began := time.Now()
 			events, access := standin.NewRadiusClient(acct, "of the terminals", ""), standin.NewRadiusClient(auth, "of the terminals", "")
 			send := func(step string, calls int) (byFirst int) {
@@ -97,11 +84,11 @@
 			if n := send("before", 40); n < 10 {
 				t.Errorf("%d of 80 calls came to r1 at the start", n)
 			}
-			operateOn(t, d.ManagementAddr, "DISABLE r1")
+			operate("DISABLE r1")
 			if n := send("out", 40); n > 0 {
 				t.Errorf("%d of 80 calls came to r1 after the yes", n)
 			}
-			operateOn(t, d.ManagementAddr, "ENABLE r1")
+			operate("ENABLE r1")
 			back := 0
 			for round := 0; back == 0 && round < 20; round++ {
 				if back = send(fmt.Sprint("back", round), 40); back > 16 {
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -284,7 +284,7 @@
 	for _, c := range s.routes.Cores() {
 		paths = append(paths, changes.Path{Name: c.Pool, Host: c.Host, Conns: c.Conns, Adapt: c.Adapt})
 	}
-	s.trials = changes.New(changes.Config{Running: s.cfg, Paths: paths, Front: s.srv, Discovery: s.watcher, Listener: s.ln, Figures: s.figures})
+	s.trials = changes.New(changes.Config{Running: s.cfg, Paths: paths, Front: s.srv, Discovery: s.watcher, OnDiscoveryMoved: s.followDiscovery, Listener: s.ln, Figures: s.figures})
 	s.onClose(s.trials.Close)
 	if s.trials.Enabled() {
 		s.addTask(trialCheckInterval, func(time.Time) { s.trials.CheckTrial() })
@@ -292,6 +292,14 @@
 	return nil
 }
 
+// followDiscovery moves the other paths that follow the platform's discovery to its new address.
+func (s *sidecar) followDiscovery(from, to string) {
+	s.routes.FollowDiscovery(from, to)
+	if s.radiusProxy != nil {
+		s.radiusProxy.FollowDiscovery(from, to)
+	}
+}
+
 func (s *sidecar) startAdmin() error {
 	path := s.cfg.Features.Admin.Socket
 	if path == "" {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -71,6 +71,21 @@
 // address are meaningless at another, so the next watch requests the whole list.
 func (w *Watcher) SetAddr(addr string) { w.cancelCurrent(func() { w.Addr, w.moved = addr, true }) }
 
+// Follow moves the watcher from one address to another, as SetAddr does, if it is at the first one. It
+// reports whether it was.
+func (w *Watcher) Follow(from, to string) (moved bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || w.Addr != from || from == to {
+		return false
+	}
+	w.Addr, w.moved = to, true
+	if w.cancel != nil {
+		w.cancel()
+	}
+	return true
+}
+
 // Close ends the current watch and stops the watcher.
 func (w *Watcher) Close() { w.cancelCurrent(func() { w.closed = true }) }
 
--- a/internal/radius/proxy/proxy.go
+++ b/internal/radius/proxy/proxy.go
@@ -333,6 +333,15 @@
 	}
 }
 
+// FollowDiscovery moves what follows the discovery at one address to another address.
+func (p *Proxy) FollowDiscovery(from, to string) {
+	for _, s := range p.services {
+		if s.watcher != nil && s.watcher.Follow(from, to) {
+			slog.Info("radius: follows the platform's discovery to its new address", "side", s.name, "from", from, "to", to)
+		}
+	}
+}
+
 // Addr returns the address at which access or accounting requests are received, or the zero
 // value if they are not.
 func (p *Proxy) Addr(accounting bool) (addr netip.AddrPort) {
--- a/internal/rig/daemon.go
+++ b/internal/rig/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"os"
@@ -242,6 +243,22 @@
 	return nil
 }
 
+// operateTimeout limits how long an operators' call may take.
+const operateTimeout = 20 * time.Second
+
+// Operate sends an operators' call, a line, to a daemon in this process and returns the answer.
+func (d *Daemon) Operate(line string) (answer string, err error) {
+	conn, err := net.Dial("tcp", d.ManagementAddr)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(operateTimeout))
+	fmt.Fprintln(conn, line)
+	text, err := io.ReadAll(conn)
+	return strings.TrimSpace(string(text)), err
+}
+
 // Signal sends a signal to the daemon's process.
 func (d *Daemon) Signal(s os.Signal) error { return d.cmd.Process.Signal(s) }
 
--- a/internal/rig/disable_paths_test.go
+++ b/internal/rig/disable_paths_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"strings"
 	"sync"
@@ -16,18 +15,11 @@
 // operate sends an operators' call to a daemon and returns the answer.
 func (s *pathSite) operate(daemon *rig.Daemon, line string) string {
 	s.Helper()
-	conn, err := net.Dial("tcp", daemon.ManagementAddr)
+	answer, err := daemon.Operate(line)
 	if err != nil {
 		s.Fatal(err)
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(testTimeout))
-	fmt.Fprintln(conn, line)
-	answer, err := io.ReadAll(conn)
-	if err != nil {
-		s.Fatal(err)
-	}
-	return strings.TrimSpace(string(answer))
+	return answer
 }
 
 // warmSite is a site whose servers count as warm until they are called back, and are cold for a long
@@ -184,3 +176,44 @@
 	}
 	s.checkCold("called back", "s2")
 }
+
+// Guards against a pool that goes on asking the discovery that the platform's configuration has moved
+// away from: after SIGHUP a drain that the new address tells is kept on all paths.
+func TestPathsFollowDiscoveryThatMoves(t *testing.T) {
+	for _, features := range []string{"", "[config]\nenabled = true\n"} {
+		t.Run(features, func(t *testing.T) {
+			s := newPathServers(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()})
+			text := s.features(s.fixed) + features
+			var err error
+			if s.daemon, err = s.site.StartDaemon(1, text); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { s.daemon.Stop() })
+			s.connect(s.daemon.Addr, "")
+			watches := s.site.Discovery.OpenWatches()
+			for round := range 2 {
+				if err := s.site.Discovery.Move(); err != nil {
+					t.Fatal(err)
+				}
+				s.site.Discovery.CloseWatches()
+				if err := s.daemon.Reload(s.site.PlatformConfig("127.0.0.1:0", 1), text); err != nil {
+					t.Fatal(err)
+				}
+				for end := time.Now().Add(testTimeout); s.site.Discovery.OpenWatches() < watches; time.Sleep(5 * time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatalf("move %d: %d of %d watches at the new address", round, s.site.Discovery.OpenWatches(), watches)
+					}
+				}
+				out := s.site.Endpoint(round, "draining")
+				s.site.Discovery.Change(out)
+				for _, path := range []string{"platform", "followed", "queued"} {
+					for end := time.Now().Add(testTimeout); s.callsByServer(path, 24)[out.Name] > 0; {
+						if time.Now().After(end) {
+							t.Fatalf("move %d: path %s goes on using %s", round, path, out.Name)
+						}
+					}
+				}
+			}
+		})
+	}
+}
