A change of aims and deadlines applies to pauses in answers too

A class with a longer deadline that a change brought had its answers cut off after the old pause; one with a shorter aim got no attempt beside a stalled answer in time.

They are part of the timeouts that a trial sets on the connections of all paths now: the shorter limit for held answers and the longer one for those that are passed on while both configurations serve.

TestSharedSettingsFollowBothConfigurationsDuringTrial has both now; before, the timeouts didn't name them.

--- a/internal/components/changes/changes_test.go
+++ b/internal/components/changes/changes_test.go
@@ -31,6 +31,7 @@
 	}
 	ts := connTimes(c)
 	pool := upstream.New(upstream.Config{ConnIdleTimeout: ts.ConnIdleTimeout, DialTimeout: ts.DialTimeout, DrainGrace: ts.DrainGrace, MaxConns: 10})
+	pool.SetTimeouts(ts)
 	host, err := core.New(core.Config{Generation: c.Generation(c.ID()), Seed: 1, Transport: pool})
 	if err != nil {
 		t.Fatal(err)
@@ -68,11 +69,11 @@
 		g := newTestChanges(t, p.Load(t))
 		next := g.withReplacement(t, `"connIdleUs":30000000,"dialTimeoutUs":250000},"guarantees":{"drainGraceUs":2000000}`,
 			`"connIdleUs":20000000,"dialTimeoutUs":900000},"guarantees":{"drainGraceUs":1000000}`)
-		next.Settings.Deadlines[0] = time.Minute
+		next.Settings.Deadlines[0], next.Settings.Config.Classes[0].Aim = time.Minute, 300*time.Millisecond
 		if out, err := g.propose(next, "", false); err != nil || out.ID != 2 {
 			t.Fatalf("%+v, %v", out, err)
 		}
-		if got := g.paths[0].Conns.Timeouts(); got != (upstream.Timeouts{ConnIdleTimeout: 20 * time.Second, DialTimeout: 900 * time.Millisecond, DrainGrace: time.Second}) {
+		if got := g.paths[0].Conns.Timeouts(); got != (upstream.Timeouts{ConnIdleTimeout: 20 * time.Second, DialTimeout: 900 * time.Millisecond, DrainGrace: time.Second, StallTimeout: 150 * time.Millisecond, StreamStallTimeout: 10 * time.Second}) {
 			t.Errorf("times during the trial: %+v", got)
 		}
 		if g.LongestDeadline() != time.Minute {
@@ -84,6 +85,7 @@
 		g.current.Discovery = "127.0.0.1:99" // as a SIGHUP within the trial has it
 		g.finishTrial(keep, "")
 		want := connTimes(g.current)
+		want.StallTimeout = min(want.StallTimeout, 400*time.Millisecond) // the longest that connections take
 		if got := g.paths[0].Conns.Timeouts(); got != want || (want.ConnIdleTimeout == 20*time.Second) != keep {
 			t.Errorf("keep %v: %+v, want %+v", keep, got, want)
 		}
@@ -236,9 +238,9 @@
 
 // During a trial the times of shared connections keep the promises of both configurations.
 func TestStrictestTimesKeepsBothPromises(t *testing.T) {
-	a := upstream.Timeouts{ConnIdleTimeout: 3, DialTimeout: 1, DrainGrace: 2}
-	b := upstream.Timeouts{ConnIdleTimeout: 2, DialTimeout: 4, DrainGrace: 5}
-	if got := strictestTimes(a, b); got != (upstream.Timeouts{ConnIdleTimeout: 2, DialTimeout: 4, DrainGrace: 2}) || got != strictestTimes(b, a) {
+	a := upstream.Timeouts{ConnIdleTimeout: 3, DialTimeout: 1, DrainGrace: 2, StallTimeout: 7, StreamStallTimeout: 8}
+	b := upstream.Timeouts{ConnIdleTimeout: 2, DialTimeout: 4, DrainGrace: 5, StallTimeout: 6, StreamStallTimeout: 9}
+	if got := strictestTimes(a, b); got != (upstream.Timeouts{ConnIdleTimeout: 2, DialTimeout: 4, DrainGrace: 2, StallTimeout: 6, StreamStallTimeout: 9}) || got != strictestTimes(b, a) {
 		t.Errorf("%+v", got)
 	}
 }
--- a/internal/components/changes/paths.go
+++ b/internal/components/changes/paths.go
@@ -65,10 +65,21 @@
 
 // connTimes returns the timeouts of connections under a configuration.
 func connTimes(c *config.Config) upstream.Timeouts {
-	return upstream.Timeouts{ConnIdleTimeout: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout, DrainGrace: c.Settings.DrainGrace}
+	return upstream.Timeouts{
+		ConnIdleTimeout: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout, DrainGrace: c.Settings.DrainGrace,
+		// Leaves half of the shortest aim for another attempt.
+		StallTimeout:       c.Settings.ShortestAim() / 2,
+		StreamStallTimeout: upstream.StreamStallTimeoutFor(c.Settings.MaxDeadline()),
+	}
 }
 
 // strictestTimes returns the times that keep the promises of both configurations.
 func strictestTimes(a, b upstream.Timeouts) upstream.Timeouts {
-	return upstream.Timeouts{ConnIdleTimeout: min(a.ConnIdleTimeout, b.ConnIdleTimeout), DialTimeout: max(a.DialTimeout, b.DialTimeout), DrainGrace: min(a.DrainGrace, b.DrainGrace)}
+	return upstream.Timeouts{
+		ConnIdleTimeout:    min(a.ConnIdleTimeout, b.ConnIdleTimeout),
+		DialTimeout:        max(a.DialTimeout, b.DialTimeout),
+		DrainGrace:         min(a.DrainGrace, b.DrainGrace),
+		StallTimeout:       min(a.StallTimeout, b.StallTimeout),
+		StreamStallTimeout: max(a.StreamStallTimeout, b.StreamStallTimeout),
+	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -96,12 +96,7 @@
 	}
 	p := &Pool{cfg: cfg, servers: make(map[string]*server), byAddr: make(map[string]*server), earlyBreakWindow: defaultEarlyBreakWindow, stallTimeout: defaultStallTimeout, streamStallTimeout: defaultStreamStallTimeout, holdBackDelay: defaultHoldBackDelay, sendTimeout: defaultSendTimeout}
 	p.idleTimeout = p.maxIdleTimeout()
-	if cfg.StreamStallTimeout > 0 {
-		p.streamStallTimeout = cfg.StreamStallTimeout
-	}
-	if cfg.StallTimeout > 0 {
-		p.stallTimeout = max(minStallTimeout, min(cfg.StallTimeout, defaultStallTimeout))
-	}
+	p.setStallTimeouts(cfg.StallTimeout, cfg.StreamStallTimeout)
 	return p
 }
 
@@ -109,8 +104,12 @@
 // idle timeout that servers announce.
 func (p *Pool) maxIdleTimeout() time.Duration { return p.cfg.ConnIdleTimeout * 6 / 10 }
 
-// Timeouts holds the fields of a Pool's Config that can change at run time.
-type Timeouts struct{ ConnIdleTimeout, DialTimeout, DrainGrace time.Duration }
+// Timeouts holds the fields of a Pool's Config that can change at run time. A StallTimeout or
+// StreamStallTimeout of 0 leaves the one in use.
+type Timeouts struct {
+	ConnIdleTimeout, DialTimeout, DrainGrace time.Duration
+	StallTimeout, StreamStallTimeout         time.Duration
+}
 
 // SetTimeouts replaces the pool's timeouts. Connections that have been idle for too long under
 // the new ones are closed by the next Sweep or when they are next considered for use.
@@ -119,13 +118,32 @@
 	defer p.mu.Unlock()
 	p.cfg.ConnIdleTimeout, p.cfg.DialTimeout, p.cfg.DrainGrace = timeouts.ConnIdleTimeout, timeouts.DialTimeout, timeouts.DrainGrace
 	p.idleTimeout = min(p.idleTimeout, p.maxIdleTimeout())
+	p.setStallTimeouts(timeouts.StallTimeout, timeouts.StreamStallTimeout)
+}
+
+// setStallTimeouts sets the limits of pauses in answers; 0 leaves one as it is. The caller holds the
+// pool's lock, or is the only user of p.
+func (p *Pool) setStallTimeouts(held, streamed time.Duration) {
+	if held > 0 {
+		p.stallTimeout = max(minStallTimeout, min(held, defaultStallTimeout))
+	}
+	if streamed > 0 {
+		p.streamStallTimeout = streamed
+	}
+}
+
+// stallTimeouts returns the longest pause in an answer that is held, and in one that is passed on.
+func (p *Pool) stallTimeouts() (held, streamed time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stallTimeout, p.streamStallTimeout
 }
 
 // Timeouts returns the timeouts currently in use.
 func (p *Pool) Timeouts() Timeouts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Timeouts{p.cfg.ConnIdleTimeout, p.cfg.DialTimeout, p.cfg.DrainGrace}
+	return Timeouts{p.cfg.ConnIdleTimeout, p.cfg.DialTimeout, p.cfg.DrainGrace, p.stallTimeout, p.streamStallTimeout}
 }
 
 // recordEarlyBreak records that a connection broke as soon as a request was written to it. idle
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -223,8 +223,9 @@
 // it.
 func TestChangedTimeoutsApplyToIdleConnections(t *testing.T) {
 	p := New(Config{ConnIdleTimeout: 10 * time.Second, DialTimeout: time.Second, DrainGrace: time.Second})
-	p.SetTimeouts(Timeouts{ConnIdleTimeout: time.Second, DialTimeout: 2 * time.Second, DrainGrace: time.Minute})
-	if got := p.Timeouts(); got != (Timeouts{time.Second, 2 * time.Second, time.Minute}) || p.idleTimeout != 600*time.Millisecond {
+	changed := Timeouts{time.Second, 2 * time.Second, time.Minute, 100 * time.Millisecond, 5 * time.Second}
+	p.SetTimeouts(changed)
+	if got := p.Timeouts(); got != changed || p.idleTimeout != 600*time.Millisecond {
 		t.Errorf("times %+v, idle timeout %v", got, p.idleTimeout)
 	}
 	if p.SetTimeouts(Timeouts{ConnIdleTimeout: 10 * time.Second}); p.idleTimeout != 600*time.Millisecond {
--- a/internal/upstream/reception.go
+++ b/internal/upstream/reception.go
@@ -81,12 +81,13 @@
 
 // limit implements pauseHandler.
 func (r *reception) limit() time.Duration {
+	held, streamed := r.attempt.pool.stallTimeouts()
 	if r.isPassedOn {
-		return r.attempt.pool.streamStallTimeout
+		return streamed
 	}
 	limit := time.Duration(0)
 	if !r.isStalled {
-		limit = r.attempt.pool.stallTimeout
+		limit = held
 	}
 	if at := r.passOnTime(); !at.IsZero() {
 		untilPassOn := max(time.Until(at), 1)
