Pools leave a zone that operators order to be left, and come back with the fleet

Zones was between the operators' changes and the core for the platform's list alone.

A pool's list goes through Zones too. Servers of a zone that is left, or in a stage of its return, are listed as draining; the stages' rates stay with the calls that they count. A pool without servers elsewhere goes on using them, as the last zone in use is not left.

TestPoolsLeaveZones has the order, lists in between, the stages of the return and the way back; before, there was no path from Zones to a pool.

--- a/internal/components/zones/zones.go
+++ b/internal/components/zones/zones.go
@@ -50,7 +50,8 @@
 	forward   func(*membership.List)
 	sendNotes func(n int, numbers []int)
 
-	forwardMu  sync.Mutex // held while a list is passed to the core, so that lists arrive in order
+	forwardMu  sync.Mutex // held while a list is passed to a core, so that lists arrive in order
+	pools      []*pool    // guarded by forwardMu
 	mu         sync.Mutex // never held during calls to other packages' callbacks
 	machine    *evacuation.Machine
 	entries    map[string]membership.Entry
@@ -181,6 +182,9 @@
 	if out.UsesChanged {
 		z.forwardChangedZones()
 	}
+	if out.UsesChanged || len(out.Changes) > 0 {
+		z.forwardPools()
+	}
 	z.core.AbandonAttempts(out.HopelessAttempts)
 	if out.RandomNotes > 0 || len(out.Recipients) > 0 {
 		z.sendNotes(out.RandomNotes, out.Recipients)
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -237,7 +237,7 @@
 }
 
 func (s *sidecar) startRouting() (err error) {
-	if s.routes, err = newRouting(s.cfg, s.answerHeads, s.answers, s.operation.AddPool); err != nil {
+	if s.routes, err = newRouting(s.cfg, s.answerHeads, s.answers, s.addPool); err != nil {
 		return err
 	}
 	s.onClose(s.routes.Close)
@@ -248,6 +248,15 @@
 	return nil
 }
 
+// addPool registers a pool for the operators' calls. It returns the function that takes the pool's lists
+// of servers and passes them to forward with the operators' changes applied.
+func (s *sidecar) addPool(name string, forward func(*membership.List)) (applyList func(*membership.List)) {
+	if s.zones != nil {
+		forward = s.zones.AddPool(forward)
+	}
+	return s.operation.AddPool(name, forward)
+}
+
 func (s *sidecar) startFront() (err error) {
 	c := s.cfg
 	if s.ln, err = clientListener(c); err != nil {
--- a/internal/daemon/zones_test.go
+++ b/internal/daemon/zones_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"strings"
 	"testing"
@@ -103,6 +104,65 @@
 	z.Close()
 }
 
+// Guards against pools that go on using a zone that was left by an operator's order: its servers drain
+// in each pool that has others, whatever its lists say, until the zone is back for all sidecars.
+func TestPoolsLeaveZones(t *testing.T) {
+	z, err := newZones(configWithZones(t, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	z.Connect(new(recordingClock), func(*membership.List) {}, func(int, []int) {})
+	at := func(name, zone string) membership.Entry {
+		return membership.Entry{Endpoint: chalkrack.Endpoint{Name: name, Zone: zone}}
+	}
+	whole := func(entries ...membership.Entry) *membership.List {
+		return &membership.List{Complete: true, Entries: entries}
+	}
+	z.ApplyList(whole(at("s1", "a"), at("s2", "b")))
+	type poolUse struct {
+		used  map[string]bool
+		apply func(*membership.List)
+	}
+	newPool := func() *poolUse {
+		p := &poolUse{used: make(map[string]bool)}
+		p.apply = z.AddPool(func(l *membership.List) {
+			if l.Complete {
+				clear(p.used)
+			}
+			for _, e := range l.Entries {
+				p.used[e.Name] = e.State == chalkrack.Serving
+			}
+		})
+		return p
+	}
+	both, onlyA := newPool(), newPool()
+	both.apply(whole(at("p1", "a"), at("p2", "b"), at("p3", "elsewhere")))
+	onlyA.apply(whole(at("q1", "a")))
+	check := func(step string, want map[string]bool) {
+		t.Helper()
+		if !maps.Equal(both.used, want) || !onlyA.used["q1"] {
+			t.Errorf("%s: pool uses %v, want %v; the pool with servers in that zone only: %v", step, both.used, want, onlyA.used)
+		}
+	}
+	check("at the start", map[string]bool{"p1": true, "p2": true, "p3": true})
+	text, _ := json.Marshal(zones.Order{Zone: "a", Action: "leave", Who: "kim", Reason: "a test"})
+	if _, err := z.ExecuteOrder(text); err != nil {
+		t.Fatal(err)
+	}
+	check("left", map[string]bool{"p1": false, "p2": true, "p3": true})
+	both.apply(&membership.List{Entries: []membership.Entry{at("p1", "a"), at("p4", "a")}})
+	check("listed again", map[string]bool{"p1": false, "p2": true, "p3": true, "p4": false})
+	record := z.State()[0].Record
+	for _, stage := range []evacuation.Stage{evacuation.StageOneIn64, evacuation.StageOneIn4} {
+		record.Step, record.Stage = record.Step+1, stage
+		z.Adopt([]evacuation.ZoneState{{Zone: "a", Record: record}})
+		check("returning", map[string]bool{"p1": false, "p2": true, "p3": true, "p4": false})
+	}
+	record.Step, record.Stage = record.Step+1, evacuation.StageAll
+	z.Adopt([]evacuation.ZoneState{{Zone: "a", Record: record}})
+	check("back", map[string]bool{"p1": true, "p2": true, "p3": true, "p4": true})
+}
+
 // If another process of this sidecar still holds the port for notes, a starting process waits for
 // it; without an inherited listener the start fails.
 func TestStartWaitsForNotesPort(t *testing.T) {
--- a/internal/evacuation/stages.go
+++ b/internal/evacuation/stages.go
@@ -263,6 +263,13 @@
 	return z == nil || m.usesZone(z)
 }
 
+// IsOpen reports whether the named zone is neither left nor in a stage of its return. It is true for a
+// zone that is not known.
+func (m *Machine) IsOpen(name string) bool {
+	z := m.findZone(name)
+	return z == nil || z.record.Stage == StagePart || z.record.Stage == StageAll && !z.leftLocally
+}
+
 // HasRoom reports whether a call of the given class may be sent to a zone now. In a return stage it
 // enforces the rate limit: the total of all sidecars that send stays below the stage's share of
 // what the zone's servers can take, whatever the traffic of a single sidecar.
