Pools: an id runs once on all paths, and one server is at an address

The claims are one object now that all cores of the process have (core.IDClaims), and a pool by discovery resolves addresses as the platform does. A fixed list may name a server twice.

--- a/internal/components/pools/pools.go
+++ b/internal/components/pools/pools.go
@@ -58,6 +58,7 @@
 	Trace      *slog.Logger       // receives the traces of calls; may be nil
 	Heads      *httphead.Budget   // for the long heads of answers; nil: a budget for each pool
 	Answers    *bytebudget.Budget // for answers that are held; nil: not bounded
+	IDs        *core.IDClaims     // of calls on all paths; nil: IDs may come again
 	// AddPool registers a pool for the operators' calls. It returns the function that takes the pool's
 	// lists of servers and passes them to forward with the operators' changes; nil: there are none.
 	AddPool func(name string, forward func(*membership.List)) (applyList func(*membership.List))
@@ -105,7 +106,9 @@
 	})
 	var err error
 	s.host, err = core.New(core.Config{
-		Generation: c.Generation.WithSettings(set), Seed: seed, Transport: s.conns, TraceLog: c.Trace,
+		Generation: c.Generation.WithSettings(set), Seed: seed, Transport: s.conns, TraceLog: c.Trace, IDs: c.IDs,
+		// A fixed list is the operators' own, and may name a server twice.
+		OneServerPerAddress: p.Discovery != "",
 	})
 	if err != nil {
 		return nil, fmt.Errorf("pool %q: %w", p.Name, err)
--- a/internal/core/claims.go
+++ b/internal/core/claims.go
@@ -24,18 +24,25 @@
 	Forget(id string)
 }
 
-// idClaims prevents that a call runs again when its ID comes again, after its client has left or its
+// IDClaims prevents that a call runs again when its ID comes again, after its client has left or its
 // answer was lost. Clients use each ID once, and a call that may have run must not run for a second
-// call of the same ID.
-type idClaims struct {
+// call of the same ID, at whichever Host of the process that comes. Its methods may be called from any
+// goroutine.
+type IDClaims struct {
 	shared IDRegistry // nil: there is no other process
 
 	mu     sync.Mutex
 	recent recentSet
 }
 
+// NewIDClaims returns claims for all Hosts of a process. shared has the claims of all processes of the
+// sidecar; nil: there is one process.
+func NewIDClaims(shared IDRegistry) *IDClaims {
+	return &IDClaims{shared: shared, recent: recentSet{ttl: idTTL}}
+}
+
 // claim claims the ID of a call that arrives, and reports false if it was claimed before.
-func (c *idClaims) claim(now time.Duration, id string) bool {
+func (c *IDClaims) claim(now time.Duration, id string) bool {
 	c.mu.Lock()
 	wasThere := c.recent.add(now, id)
 	c.mu.Unlock()
@@ -43,7 +50,7 @@
 }
 
 // forget gives the claim of a call up that provably has not run.
-func (c *idClaims) forget(id string) {
+func (c *IDClaims) forget(id string) {
 	c.mu.Lock()
 	c.recent.remove(id)
 	c.mu.Unlock()
--- a/internal/core/claims_test.go
+++ b/internal/core/claims_test.go
@@ -38,7 +38,7 @@
 					}
 					a.order.Sink.Done(c.first, answer, chalkrack.LoadReport{})
 				}}
-				h := newQuietHostWith(t, core.Config{Settings: shortSettings(), Seed: 1, Transport: transport, ClaimIDs: true}, 3)
+				h := newQuietHostWith(t, core.Config{Settings: shortSettings(), Seed: 1, Transport: transport, IDs: core.NewIDClaims(nil)}, 3)
 				defer h.Close()
 				attempts := func() int {
 					transport.mu.Lock()
@@ -75,3 +75,23 @@
 		})
 	}
 }
+
+// Guards against a call that runs again at another core of the process, such as a pool's, when its ID
+// comes again there.
+func TestRepeatedIDAtAnotherHost(t *testing.T) {
+	ids := core.NewIDClaims(nil)
+	attempts := 0
+	transport := &memTransport{onStart: func(a *memAttempt) {
+		attempts++
+		a.order.Sink.Done(chalkrack.Reset, nil, chalkrack.LoadReport{})
+	}}
+	for n := range 3 {
+		h := newQuietHostWith(t, core.Config{Settings: shortSettings(), Seed: 1, Transport: transport, IDs: ids}, 3)
+		defer h.Close()
+		caller := new(recordingCaller)
+		h.Arrive(&core.Call{ID: "7", Class: "u", Received: time.Now(), Caller: caller})
+		if attempts != 1 || len(caller.finals) != 1 || caller.finals[0] != "failed" {
+			t.Errorf("host %d: %d attempts so far, the call ended as %v", n, attempts, caller.finals)
+		}
+	}
+}
--- a/internal/core/host.go
+++ b/internal/core/host.go
@@ -31,7 +31,7 @@
 	log       func() *slog.Logger
 	traceLog  *slog.Logger             // nil: off
 	observer  AttemptObserver          // nil: none
-	ids       *idClaims                // nil: IDs may come again
+	ids       *IDClaims                // nil: IDs may come again
 	addresses *membership.AddressTable // nil: servers may share an address; guarded by mu
 
 	start     time.Time
@@ -72,10 +72,9 @@
 	TraceLog *slog.Logger
 	// Observer observes each attempt; nil: none.
 	Observer AttemptObserver
-	// ClaimIDs prevents that a call which is not safe to repeat runs again when its ID comes again.
-	ClaimIDs bool
-	// SharedIDs has the claims of all processes of the sidecar; nil: there is one process.
-	SharedIDs IDRegistry
+	// IDs prevents that a call which is not safe to repeat runs again when its ID comes again, here or at
+	// another Host with the same IDClaims; nil: IDs may come again.
+	IDs *IDClaims
 	// OneServerPerAddress says that of several servers that are listed with one address, only the one
 	// that came last is there.
 	OneServerPerAddress bool
@@ -138,9 +137,7 @@
 		traceLog:    cfg.TraceLog,
 		observer:    cfg.Observer,
 		marks:       recentSet{ttl: markTTL},
-	}
-	if cfg.ClaimIDs {
-		h.ids = &idClaims{shared: cfg.SharedIDs, recent: recentSet{ttl: idTTL}}
+		ids:         cfg.IDs,
 	}
 	if cfg.Log != nil {
 		h.log = func() *slog.Logger { return cfg.Log }
--- a/internal/daemon/pools_test.go
+++ b/internal/daemon/pools_test.go
@@ -65,7 +65,7 @@
 	}()
 	p := configtest.New(t)
 	p.Write(t, 5, fmt.Sprintf("[[pools]]\nname = \"p\"\nmax_connections = 2\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
-	r, err := newRouting(p.Load(t), nil, nil, nil)
+	r, err := newRouting(p.Load(t), nil, nil, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -82,7 +82,7 @@
 	}
 	// Queued calls are refused at once, however long the others may take.
 	p.Write(t, 5, fmt.Sprintf("[[pools]]\nname = \"q\"\nmax_active = 1\nmax_waiting = 5\nqueue_wait = \"1h\"\nattempts = 1\nservers = [{ name = \"s\", address = %q }]\n", ln.Addr()))
-	line, err := newRouting(p.Load(t), nil, nil, nil)
+	line, err := newRouting(p.Load(t), nil, nil, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -44,6 +44,7 @@
 	figures          *figures.Figures
 	pool             *upstream.Pool
 	watcher          *discovery.Watcher
+	ids              *core.IDClaims // of all paths
 	host             *core.Host
 	applyList        func(*membership.List) // passes a list from discovery on to the core
 	weights          *weighted.HintAdjuster
@@ -144,7 +145,8 @@
 	if s.zones, err = newZones(c); err != nil {
 		return err
 	}
-	s.host, err = core.New(core.Config{Observer: zoneObserver(s.zones), Generation: c.Generation(c.ID()), Seed: c.Seed, Transport: s.pool, TraceLog: traceLogger(c), ClaimIDs: true, SharedIDs: s.openSharedIDs(), OneServerPerAddress: true})
+	s.ids = core.NewIDClaims(s.openSharedIDs())
+	s.host, err = core.New(core.Config{Observer: zoneObserver(s.zones), Generation: c.Generation(c.ID()), Seed: c.Seed, Transport: s.pool, TraceLog: traceLogger(c), IDs: s.ids, OneServerPerAddress: true})
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -237,7 +239,7 @@
 }
 
 func (s *sidecar) startRouting() (err error) {
-	if s.routes, err = newRouting(s.cfg, s.answerHeads, s.answers, s.addPool); err != nil {
+	if s.routes, err = newRouting(s.cfg, s.answerHeads, s.answers, s.ids, s.addPool); err != nil {
 		return err
 	}
 	s.onClose(s.routes.Close)
--- a/internal/rig/disable_paths_test.go
+++ b/internal/rig/disable_paths_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -80,7 +82,12 @@
 // checkCold sends calls on all paths; a server gets some of them, and far fewer than one that is warm.
 func (s *pathSite) checkCold(step, server string) {
 	s.Helper()
-	for path := range s.clients {
+	s.checkColdOn(step, server, slices.Collect(maps.Keys(s.clients))...)
+}
+
+func (s *pathSite) checkColdOn(step, server string, paths ...string) {
+	s.Helper()
+	for _, path := range paths {
 		total := 0
 		for end := time.Now().Add(testTimeout); total == 0; {
 			calls := s.callsByServer(path, 60)
@@ -217,3 +224,21 @@
 		})
 	}
 }
+
+// Guards against a pool that sends to a process by the name of the one that was at its address before:
+// the new one is cold on all paths that follow discovery, though the old one is still listed.
+func TestReplacedServerIsColdOnAllPaths(t *testing.T) {
+	s := newPathServers(t, warmSite())
+	s.listAllAsOld()
+	var err error
+	if s.daemon, err = s.site.StartDaemon(1, s.features(s.fixed)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.daemon.Stop() })
+	s.connect(s.daemon.Addr, "")
+	replacement := s.site.Endpoint(0, "up")
+	replacement.Name, replacement.SinceMs = "s9", time.Now().UnixMilli()
+	s.site.Discovery.Change(replacement)
+	time.Sleep(200 * time.Millisecond) // all watches have told it
+	s.checkColdOn("replaced", "s1", "platform", "followed", "queued")
+}
--- a/internal/rig/paths_test.go
+++ b/internal/rig/paths_test.go
@@ -126,6 +126,10 @@
 // call sends a request of a class on a path and returns its id and reply.
 func (s *pathSite) call(path string, class standin.Class) (id string, reply standin.Reply) {
 	id = fmt.Sprint(path, "-", s.lastID.Add(1))
+	return id, s.callWithID(path, id, class)
+}
+
+func (s *pathSite) callWithID(path, id string, class standin.Class) standin.Reply {
 	request := standin.ClientRequest{ID: id, Class: class, Deadline: 20 * time.Second}
 	if path != "platform" && path != "listener" {
 		request.Header = http.Header{"X-Pool": {path}}
@@ -133,7 +137,7 @@
 	if class.Effect == standin.Keyed {
 		request.Key = id
 	}
-	return id, s.clients[path].Do(s.Context(), request)
+	return s.clients[path].Do(s.Context(), request)
 }
 
 // waitForServers waits until each path of the platform's servers has a list.
@@ -313,3 +317,23 @@
 		t.Errorf("the change is %s; calls by configuration: %v", got, slices.Sorted(maps.Keys(served)))
 	}
 }
+
+// Guards against a request that runs again, at the same path or at another one, because its id comes
+// again.
+func TestRepeatedIDRunsOnceOnAllPaths(t *testing.T) {
+	s := newPathSite(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()}, time.Hour)
+	for _, first := range pathNames {
+		for _, again := range pathNames {
+			id, reply := s.call(first, activateClass)
+			if reply.Status != 200 {
+				t.Fatalf("%s: %+v", id, reply)
+			}
+			if r := s.callWithID(again, id, activateClass); r.Verdict() != "failed" {
+				t.Errorf("%s: %s when it came again on path %s, want failed", id, r.Verdict(), again)
+			}
+			if n := s.site.Ledger.RequestCount(id).Effects; n != 1 {
+				t.Errorf("%s, again on path %s: ran %d times", id, again, n)
+			}
+		}
+	}
+}
