Claims of ids need a folder for temporary files: none in the working folder

Seen in the tree: a table of claims below internal/daemon, changed by each run of that package's tests.

Without TMPDIR each process knows its own ids only, as without BALANCER_FD.

--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -155,12 +155,13 @@
 }
 
 // openSharedIDs returns the claims of all processes of the sidecar, or nil if this one has its listener
-// for itself.
+// for itself or no folder to share.
 func (s *sidecar) openSharedIDs() core.IDRegistry {
-	if s.cfg.InheritedFD == 0 {
+	tmp := s.cfg.Getenv("TMPDIR")
+	if s.cfg.InheritedFD == 0 || tmp == "" {
 		return nil
 	}
-	claims, err := handover.OpenClaims(handover.FolderPath(s.cfg.Getenv("TMPDIR"), s.cfg.Listen))
+	claims, err := handover.OpenClaims(handover.FolderPath(tmp, s.cfg.Listen))
 	if err != nil {
 		slog.Error("ids can't be claimed among the processes of this sidecar", "err", err)
 		return nil
