A pool's queue: a decision and its effect on the table of calls are one step

Cause: Expire, Arrive and Stop decided under the lock, and applyChange looked the calls up under a second one; ClientGone in between had removed one. ClientGone also dropped the change of queue.Remove.

Change: all of them go through one function that makes the change and takes the calls from the table under the same lock, and carries it out after that.

--- a/internal/components/pools/queued.go
+++ b/internal/components/pools/queued.go
@@ -79,41 +79,40 @@
 	if c.Generation.Gen == nil {
 		c.Generation = s.Stamp()
 	}
-	s.mu.Lock()
-	s.lastID++
-	t := &trackedCall{Caller: c.Caller, handler: s, id: s.lastID, call: c, pending: 1}
-	deadline := c.Received.Add(maxDuration(c)).Sub(s.start)
-	// A call whose body is still being sent by its client, and is not stored, can't wait.
-	mayWait := c.Limits == nil || c.Limits.BodyTimeout == 0
-	decision, change := s.queue.Arrive(s.now(), t.id, worthOf(c), deadline, mayWait)
-	if decision != queue.Admit { // also a refused call: applyChange looks it up here
-		s.waiting[t.id] = t
-	}
-	s.tracked[c] = t
-	c.Caller = t
-	s.mu.Unlock()
-	s.applyChange(change)
-	if decision == queue.Admit {
+	isAdmitted := false
+	s.change(func() queue.Change {
+		s.lastID++
+		t := &trackedCall{Caller: c.Caller, handler: s, id: s.lastID, call: c, pending: 1}
+		deadline := c.Received.Add(maxDuration(c)).Sub(s.start)
+		// A call whose body is still being sent by its client, and is not stored, can't wait.
+		mayWait := c.Limits == nil || c.Limits.BodyTimeout == 0
+		decision, change := s.queue.Arrive(s.now(), t.id, worthOf(c), deadline, mayWait)
+		isAdmitted = decision == queue.Admit
+		if !isAdmitted { // also a refused call, which the change names
+			s.waiting[t.id] = t
+		}
+		s.tracked[c] = t
+		c.Caller = t
+		return change
+	})
+	if isAdmitted {
 		s.handler.Arrive(c)
 	}
 }
 
-// applyChange passes admitted calls to the core, refuses others, and resets the timer to the
-// next expiry.
-func (s *queuedHandler) applyChange(c queue.Change) {
+// refusal is a call that the queue refuses.
+type refusal struct {
+	call       *trackedCall
+	retryAfter time.Duration
+}
+
+// change makes a change of the queue and of the tables of calls in one step, under the lock, and carries
+// it out after that: it passes admitted calls to the core, refuses others, and resets the timer to the
+// next expiry. A call that has left the table is in no later change.
+func (s *queuedHandler) change(do func() queue.Change) {
 	s.mu.Lock()
-	admitted := make([]*trackedCall, 0, len(c.Admitted))
-	for _, id := range c.Admitted {
-		admitted = append(admitted, s.waiting[id])
-		delete(s.waiting, id)
-	}
-	refused := make([]*trackedCall, 0, len(c.Refused))
-	for _, r := range c.Refused {
-		t := s.waiting[r.ID]
-		refused = append(refused, t)
-		delete(s.waiting, r.ID)
-		delete(s.tracked, t.call)
-	}
+	c := do()
+	admitted, refused := s.take(c)
 	if at := s.queue.NextExpiry(); at > 0 {
 		s.timer.Reset(max(at-s.now(), 0))
 	}
@@ -123,47 +122,58 @@
 		// next one, which would nest as deeply as the queue is long.
 		go s.handler.Arrive(t.call)
 	}
-	for n, t := range refused {
-		s.RecordUnsentRefusal(t.call)
-		t.Caller.Refuse(min(c.Refused[n].RetryAfter, t.call.Generation.Gen.Settings.Config.MaxRetryAfter), true)
-		t.Caller.Release()
+	for _, r := range refused {
+		s.RecordUnsentRefusal(r.call.call)
+		r.call.Caller.Refuse(min(r.retryAfter, r.call.call.Generation.Gen.Settings.Config.MaxRetryAfter), true)
+		r.call.Caller.Release()
+	}
+}
+
+// take removes the calls of a change from the tables. The caller holds the lock since the change was made.
+func (s *queuedHandler) take(c queue.Change) (admitted []*trackedCall, refused []refusal) {
+	for _, id := range c.Admitted {
+		admitted = append(admitted, s.waiting[id])
+		delete(s.waiting, id)
+	}
+	for _, r := range c.Refused {
+		t := s.waiting[r.ID]
+		refused = append(refused, refusal{t, r.RetryAfter})
+		delete(s.waiting, r.ID)
+		delete(s.tracked, t.call)
 	}
+	return admitted, refused
 }
 
 // expireWaiting refuses the calls that have waited as long as they may.
 func (s *queuedHandler) expireWaiting() {
-	s.mu.Lock()
-	change, _ := s.queue.Expire(s.now())
-	s.mu.Unlock()
-	s.applyChange(change)
+	s.change(func() queue.Change {
+		change, _ := s.queue.Expire(s.now())
+		return change
+	})
 }
 
 // ClientGone implements front.Handler. It removes a waiting call itself and passes on any other.
 func (s *queuedHandler) ClientGone(c *core.Call) bool {
-	s.mu.Lock()
-	t := s.tracked[c]
-	waits := t != nil && s.waiting[t.id] != nil
-	if waits {
+	var left *trackedCall
+	s.change(func() queue.Change {
+		t := s.tracked[c]
+		if t == nil || s.waiting[t.id] == nil {
+			return queue.Change{}
+		}
+		left = t
 		delete(s.waiting, t.id)
 		delete(s.tracked, c)
-		s.queue.Remove(s.now(), t.id)
-	}
-	s.mu.Unlock()
-	if !waits {
+		return s.queue.Remove(s.now(), t.id)
+	})
+	if left == nil {
 		return s.handler.ClientGone(c)
 	}
-	t.Caller.Release()
+	left.Caller.Release()
 	return true
 }
 
 // stop refuses all waiting calls when the process ends, so that another process takes them.
-func (s *queuedHandler) stop() {
-	s.mu.Lock()
-	s.timer.Stop()
-	change := s.queue.Stop()
-	s.mu.Unlock()
-	s.applyChange(change)
-}
+func (s *queuedHandler) stop() { s.change(s.queue.Stop) }
 
 func (s *queuedHandler) view() queue.View {
 	s.mu.Lock()
@@ -181,11 +191,10 @@
 		return
 	}
 	s := t.handler
-	s.mu.Lock()
-	delete(s.tracked, t.call)
-	change := s.queue.Remove(s.now(), t.id)
-	s.mu.Unlock()
-	s.applyChange(change)
+	s.change(func() queue.Change {
+		delete(s.tracked, t.call)
+		return s.queue.Remove(s.now(), t.id)
+	})
 }
 
 // Release implements core.Caller.
--- a/internal/components/pools/queued_test.go
+++ b/internal/components/pools/queued_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,10 +35,15 @@
 		c.Caller.Release()
 	}
 }
-func (h *fakeCore) ClientGone(*core.Call) bool { h.goneCount++; return false }
-func (h *fakeCore) Ready() bool                { return true }
-func (h *fakeCore) BodyComplete(*core.Call)    {}
-func (h *fakeCore) Stamp() generation.Stamp    { return generation.Stamp{Gen: h.generation} }
+func (h *fakeCore) ClientGone(*core.Call) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.goneCount++
+	return false
+}
+func (h *fakeCore) Ready() bool             { return true }
+func (h *fakeCore) BodyComplete(*core.Call) {}
+func (h *fakeCore) Stamp() generation.Stamp { return generation.Stamp{Gen: h.generation} }
 func (h *fakeCore) RecordUnsentRefusal(*core.Call) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -69,6 +75,13 @@
 	defer h.mu.Unlock()
 	h.events = append(h.events, s)
 }
+
+// isReleased reports whether the call's last event was recorded.
+func (h *fakeCaller) isReleased() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Contains(h.events, "released")
+}
 func (h *fakeCaller) Serve(any) { h.record("served") }
 func (h *fakeCaller) Refuse(after time.Duration, unsent bool) {
 	h.record(fmt.Sprint("refused ", after <= 3*time.Second && unsent))
@@ -222,3 +235,61 @@
 		s.stop()
 	})
 }
+
+// Guards against a queue that ends the process: calls expire, leave, arrive and end at once, in any order,
+// from several goroutines. Each call gets one result, and no place is held in the end.
+func TestQueuedCallsExpireAndLeaveAtOnce(t *testing.T) {
+	const rounds, calls = 200, 40
+	for range rounds {
+		s, held, _ := newTestQueue(t, queue.Limits{MaxActive: 2, MaxWaiting: calls, MaxWait: time.Millisecond})
+		var all [calls]*fakeCaller
+		var left [calls]bool
+		var wg sync.WaitGroup
+		for n := range calls {
+			wg.Go(func() {
+				c := &fakeCaller{}
+				all[n] = c
+				call := &core.Call{ID: fmt.Sprint(n), Class: "x", Timeout: time.Minute, Received: time.Now(), Caller: c}
+				s.Arrive(call)
+				if n%2 == 0 { // leaves as its wait expires
+					time.Sleep(time.Until(call.Received.Add(time.Millisecond - time.Duration(n)*10*time.Microsecond)))
+				}
+				left[n] = n%2 == 0 && s.ClientGone(call)
+			})
+		}
+		done := make(chan struct{})
+		var core sync.WaitGroup
+		core.Go(func() { // ends the calls that it gets
+			for {
+				_, arrived := held.takeCalls()
+				for _, call := range arrived {
+					call.Caller.Serve(nil)
+					call.Caller.Release()
+				}
+				select {
+				case <-done:
+					return
+				case <-time.After(50 * time.Microsecond):
+				}
+			}
+		})
+		wg.Wait()
+		for _, c := range all {
+			for end := time.Now().Add(20 * time.Second); !c.isReleased() && time.Now().Before(end); time.Sleep(100 * time.Microsecond) {
+			}
+		}
+		close(done)
+		core.Wait()
+		for n, c := range all {
+			c.mu.Lock()
+			got := fmt.Sprint(c.events)
+			c.mu.Unlock()
+			if left[n] != (got == "[released]") || !left[n] && got != "[served released]" && got != "[refused true released]" {
+				t.Fatalf("call %d, left %v: the caller recorded %s", n, left[n], got)
+			}
+		}
+		if v := s.view(); v.Active != 0 || v.Waiting != 0 || len(s.waiting)+len(s.tracked) != 0 {
+			t.Fatalf("calls are left over: %+v", v)
+		}
+	}
+}
