An upgrade hands the pools over: their lists, and what their cores have learned

While discovery was down its pools by discovery had no server and refused every call.

The learned state has a part for each pool now. A pool takes its list over unless its own discovery has been heard already, and its core the state of the servers that are listed.

TestUpgradeHandsPoolsOver failed before: all calls of the two pools by discovery were answered with 503.

--- a/internal/components/operating/handover.go
+++ b/internal/components/operating/handover.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"chalkrack"
@@ -30,6 +31,14 @@
 	Memory chalkrack.LearnedState `json:"memory"`
 	List   []membership.Entry     `json:"list"` // the last whole list from discovery
 	Zones  []evacuation.ZoneState `json:"zones,omitempty"`
+	Pools  []poolState            `json:"pools,omitempty"`
+}
+
+// poolState is the part of a learnedState that belongs to a pool.
+type poolState struct {
+	Name   string                 `json:"name"`
+	Memory chalkrack.LearnedState `json:"memory"`
+	List   []membership.Entry     `json:"list"` // the last whole list
 }
 
 // operatorState holds the changes that operators made by calls to any process of the sidecar.
@@ -75,6 +84,7 @@
 			if o.config.Zones != nil {
 				o.config.Zones.Adopt(l.Zones)
 			}
+			o.takeOverPools(l.Pools)
 			slog.Info("took over the learned state of the previous process", "servers", len(l.List), "after", time.Since(began))
 		}
 	}
@@ -85,6 +95,32 @@
 	go o.watchProcesses()
 }
 
+// takeOverPools takes over the state of the pools that this process has too. A pool whose discovery has
+// been heard already keeps its own list.
+func (o *Operation) takeOverPools(states []poolState) {
+	for _, state := range states {
+		n := slices.IndexFunc(o.pools, func(p handedOverPool) bool { return p.name == state.Name })
+		if n < 0 {
+			continue
+		}
+		pool := o.pools[n]
+		o.mu.Lock()
+		if pool.source.Discovered() == 0 && len(state.List) > 0 {
+			o.applyListLocked(pool.source, &membership.List{Complete: true, Entries: state.List})
+		}
+		o.mu.Unlock()
+		pool.host.RestoreState(state.Memory)
+	}
+}
+
+// poolStates returns the state of all pools. The caller holds o.mu.
+func (o *Operation) poolStates() (states []poolState) {
+	for _, pool := range o.pools {
+		states = append(states, poolState{pool.name, pool.host.LearnedState(), pool.source.List()})
+	}
+	return states
+}
+
 // watchProcesses keeps this process in step with the others of its sidecar: it divides the
 // limits, applies the operators' changes and sends the learned state until Close is called.
 func (o *Operation) watchProcesses() {
@@ -105,7 +141,7 @@
 		o.applyOperatorState()
 		if o.serving.Load() && !o.quitting {
 			for _, id := range requesting {
-				l := learnedState{Memory: o.config.Host.LearnedState(), List: o.platform.List()}
+				l := learnedState{Memory: o.config.Host.LearnedState(), List: o.platform.List(), Pools: o.poolStates()}
 				if o.config.Zones != nil {
 					l.Zones = o.config.Zones.State()
 				}
--- a/internal/components/operating/operating.go
+++ b/internal/components/operating/operating.go
@@ -60,6 +60,7 @@
 	servers        *maintenance.Set
 	platform       *maintenance.Source
 	forward        map[*maintenance.Source]func(*membership.List) // passes lists on, by source
+	pools          []handedOverPool
 	drain          drain.Machine
 	closingIdle    bool
 	otherProcesses int // processes of this sidecar
@@ -93,25 +94,39 @@
 	udpNetwork = "udp"
 )
 
-// AddPool adds the servers of a pool, and returns the function to which the pool's lists have to be
-// passed. It passes them to forward with the operators' changes applied, and each change that operators
-// make. forward is called with a lock held, so it must not call the Operation. The name has to be unique
-// among the pools.
-func (o *Operation) AddPool(name string, forward func(*membership.List)) (applyList func(*membership.List)) {
-	return o.addPath("pool "+name, tcpNetwork, forward)
+// handedOverPool is a pool whose list and learned state a new process takes over in an upgrade.
+type handedOverPool struct {
+	name   string
+	host   *core.Host
+	source *maintenance.Source
 }
 
-// AddRadius is AddPool for servers of RADIUS, whose addresses are those of UDP.
-func (o *Operation) AddRadius(name string, forward func(*membership.List)) (applyList func(*membership.List)) {
-	return o.addPath("radius "+name, udpNetwork, forward)
+// AddPool adds the servers of a pool with its core, and returns the function to which the pool's lists
+// have to be passed. It passes them to forward with the operators' changes applied, and each change that
+// operators make. forward is called with a lock held, so it must not call the Operation. The name has to
+// be unique among the pools.
+func (o *Operation) AddPool(name string, host *core.Host, forward func(*membership.List)) (applyList func(*membership.List)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	src := o.addSource("pool "+name, tcpNetwork, forward)
+	o.pools = append(o.pools, handedOverPool{name, host, src})
+	return func(l *membership.List) { o.applyList(src, l) }
 }
 
-func (o *Operation) addPath(name, network string, forward func(*membership.List)) func(*membership.List) {
+// AddRadius adds the servers of RADIUS in a realm, whose addresses are those of UDP, as AddPool does. They
+// are not handed over, as the ports of RADIUS are not.
+func (o *Operation) AddRadius(name string, forward func(*membership.List)) (applyList func(*membership.List)) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	src := o.addSource("radius "+name, udpNetwork, forward)
+	return func(l *membership.List) { o.applyList(src, l) }
+}
+
+// addSource adds a list of servers. The caller holds o.mu.
+func (o *Operation) addSource(name, network string, forward func(*membership.List)) *maintenance.Source {
 	src := o.servers.AddSource(name, network)
 	o.forward[src] = forward
-	return func(l *membership.List) { o.applyList(src, l) }
+	return src
 }
 
 // ApplyList passes a list of the platform's servers from discovery on with the operators' changes
@@ -121,6 +136,11 @@
 func (o *Operation) applyList(src *maintenance.Source, l *membership.List) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.applyListLocked(src, l)
+}
+
+// applyListLocked is applyList for a caller that holds o.mu.
+func (o *Operation) applyListLocked(src *maintenance.Source, l *membership.List) {
 	applied, others := o.servers.ApplyList(src, l)
 	o.forward[src](applied)
 	o.pass(others)
--- a/internal/components/pools/fixed.go
+++ b/internal/components/pools/fixed.go
@@ -29,7 +29,7 @@
 		s.warmFor = coldFor
 	}
 	s.standby = s.members.NewStandby()
-	s.applyList = c.register(p.Name, func(l *membership.List) { s.host.ApplyList(s.standby.Apply(l)) })
+	s.applyList = c.register(p.Name, s.host, func(l *membership.List) { s.host.ApplyList(s.standby.Apply(l)) })
 	s.applyList(s.listMembers())
 	if p.Checks.Interval > 0 {
 		for n, m := range members {
--- a/internal/components/pools/pools.go
+++ b/internal/components/pools/pools.go
@@ -59,17 +59,20 @@
 	Heads      *httphead.Budget   // for the long heads of answers; nil: a budget for each pool
 	Answers    *bytebudget.Budget // for answers that are held; nil: not bounded
 	IDs        *core.IDClaims     // of calls on all paths; nil: IDs may come again
-	// AddPool registers a pool for the operators' calls. It returns the function that takes the pool's
-	// lists of servers and passes them to forward with the operators' changes; nil: there are none.
-	AddPool func(name string, forward func(*membership.List)) (applyList func(*membership.List))
+	// AddPool registers each pool for the operators' calls and upgrades; nil: there are none.
+	AddPool AddPool
 }
 
+// AddPool registers a pool with its core. It returns the function that takes the pool's lists of servers
+// and passes them to forward.
+type AddPool func(name string, host *core.Host, forward func(*membership.List)) (applyList func(*membership.List))
+
 // register returns the function that takes a pool's lists of servers for forward.
-func (c *Config) register(name string, forward func(*membership.List)) func(*membership.List) {
+func (c *Config) register(name string, host *core.Host, forward func(*membership.List)) func(*membership.List) {
 	if c.AddPool == nil {
 		return forward
 	}
-	return c.AddPool(name, forward)
+	return c.AddPool(name, host, forward)
 }
 
 // Settings returns the platform's settings with the pool's own values applied.
@@ -122,7 +125,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	if p.Discovery != "" {
-		s.applyList = c.register(p.Name, s.host.ApplyList)
+		s.applyList = c.register(p.Name, s.host, s.host.ApplyList)
 		s.watcher = &discovery.Watcher{Addr: p.Discovery, Timing: discovery.AgentTiming, OnList: s.applyList, OnError: s.host.DiscoveryFailed}
 		s.wg.Go(s.watcher.Run)
 		return s, nil
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -5,12 +5,11 @@
 	"chalkrack/internal/components/pools"
 	"chalkrack/internal/core"
 	"chalkrack/internal/httphead"
-	"chalkrack/internal/membership"
 )
 
 // newRouting returns the routing, or nil if the operators' file has no routes, pools or listeners.
-// addPool registers each pool for the operators' calls; nil: there are none.
-func newRouting(c *Config, answerHeads *httphead.Budget, answers *bytebudget.Budget, ids *core.IDClaims, addPool func(string, func(*membership.List)) func(*membership.List)) (*pools.Routing, error) {
+// addPool registers each pool for the operators' calls and upgrades; nil: there are none.
+func newRouting(c *Config, answerHeads *httphead.Budget, answers *bytebudget.Budget, ids *core.IDClaims, addPool pools.AddPool) (*pools.Routing, error) {
 	return pools.New(&pools.Config{AddPool: addPool, IDs: ids, Generation: c.Generation(c.ID()), Features: c.Features, Seed: c.Seed, Trace: traceLogger(c), Heads: answerHeads, Answers: answers})
 }
 
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -251,13 +251,13 @@
 	return nil
 }
 
-// addPool registers a pool for the operators' calls. It returns the function that takes the pool's lists
-// of servers and passes them to forward with the operators' changes applied.
-func (s *sidecar) addPool(name string, forward func(*membership.List)) (applyList func(*membership.List)) {
+// addPool registers a pool for the operators' calls and upgrades. It returns the function that takes the
+// pool's lists of servers and passes them to forward with the operators' changes applied.
+func (s *sidecar) addPool(name string, host *core.Host, forward func(*membership.List)) (applyList func(*membership.List)) {
 	if s.zones != nil {
 		forward = s.zones.AddPool(forward)
 	}
-	return s.operation.AddPool(name, forward)
+	return s.operation.AddPool(name, host, forward)
 }
 
 func (s *sidecar) startFront() (err error) {
--- a/internal/rig/disable_paths_test.go
+++ b/internal/rig/disable_paths_test.go
@@ -242,3 +242,41 @@
 	time.Sleep(200 * time.Millisecond) // all watches have told it
 	s.checkColdOn("replaced", "s1", "platform", "followed", "queued")
 }
+
+// Guards against pools that the next process of an upgrade serves without servers: while discovery is
+// down it takes over their lists, as it does the platform's.
+func TestUpgradeHandsPoolsOver(t *testing.T) {
+	s := newPathServers(t, warmSite())
+	s.listAllAsOld()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	dir, features := t.TempDir(), s.features(s.fixed)
+	var last *rig.Daemon
+	for process := range 2 {
+		daemon, err := s.site.StartDaemonOnSocket(uint64(process+1), socket.(*net.TCPListener), dir, features)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { daemon.Stop() })
+		if last == nil {
+			s.connect(socket.Addr().String(), "")
+			if answer := s.operate(daemon, "DISABLE s2"); answer != "YES" {
+				t.Fatalf("DISABLE s2: %s", answer)
+			}
+			s.site.Discovery.SetDown(true)
+			s.site.Discovery.CloseWatches()
+		} else if err := last.Stop(); err != nil {
+			t.Error(err)
+		}
+		last = daemon
+	}
+	s.checkUnused("the next process", "s2")
+	for path := range s.clients {
+		if calls := s.callsByServer(path, 24); len(calls) < 2 {
+			t.Errorf("path %s: calls by server %v", path, calls)
+		}
+	}
+}
