Tests of servers out by hand: another one listed beside, and the bound on addresses

Found by taking handling out: that a source tells another server at the address from the one that is out, and that addresses of forgotten servers are dropped, had no test that failed.

--- a/internal/maintenance/maintenance_test.go
+++ b/internal/maintenance/maintenance_test.go
@@ -205,4 +205,7 @@
 	if st := s.State(); len(st.EnabledAt) != MaxServers || st.EnabledAt[names[MaxServers]] != 9999 {
 		t.Errorf("%d servers remembered as enabled, or the last of them is missing", len(st.EnabledAt))
 	}
+	if st := s.State(); len(st.Addresses) != MaxServers || len(s.identities.servers) != MaxServers {
+		t.Errorf("the addresses of %d servers are followed, at %d endpoints", len(st.Addresses), len(s.identities.servers))
+	}
 }
--- a/internal/maintenance/source_test.go
+++ b/internal/maintenance/source_test.go
@@ -91,6 +91,8 @@
 			c.list(platform, false, gone("s2"))
 			c.list(platform, false, at("s9", "x:2"))
 		}, lists{map[string]bool{"s1": false, "s9": false}, map[string]bool{"w1": false, "w2": false}, map[string]bool{"r": false, "s2": true}}},
+		"another is listed beside it": {func(c *consumer, platform, fixed, radius *Source) { c.list(platform, false, at("s9", "x:2")) },
+			lists{map[string]bool{"s1": false, "s2": true, "s9": false}, map[string]bool{"w1": false, "w2": true}, map[string]bool{"r": false, "s2": true}}},
 		"it moves": {func(c *consumer, platform, fixed, radius *Source) { c.list(platform, false, at("s2", "x:1")) },
 			lists{map[string]bool{"s1": false, "s2": true}, map[string]bool{"w1": true, "w2": false}, map[string]bool{"r": false, "s2": true}}},
 		"it is listed again": {func(c *consumer, platform, fixed, radius *Source) {
