--- a/internal/rig/disable_paths_test.go
+++ b/internal/rig/disable_paths_test.go
@@ -193,9 +193,13 @@
 // Guards against a pool that goes on asking the discovery that the platform's configuration has moved
 // away from: after SIGHUP a drain that the new address tells is kept on all paths.
 func TestPathsFollowDiscoveryThatMoves(t *testing.T) {
-	for _, features := range []string{"", "[config]\nenabled = true\n"} {
-		t.Run(features, func(t *testing.T) {
+	radius := "[radius]\nenabled = true\nauth = %q\nacct = %q\nauth_discovery = %q\nacct_discovery = %[3]q\ndiscovery_secret = \"of the servers\"\n[[radius.clients]]\nrange = \"127.0.0.0/8\"\nsecret = \"of the terminals\"\n"
+	for name, features := range map[string]string{"as it is": "", "config": "[config]\nenabled = true\n", "radius": radius} {
+		t.Run(name, func(t *testing.T) {
 			s := newPathServers(t, rig.SiteConfig{Classes: rig.LongDeadlineClasses()})
+			if name == "radius" {
+				features = fmt.Sprintf(features, unusedAddress(t), unusedAddress(t), s.site.Discovery.Addr())
+			}
 			text := s.features(s.fixed) + features
 			var err error
 			if s.daemon, err = s.site.StartDaemon(1, text); err != nil {
