--- a/internal/components/weighted/weighted.go
+++ b/internal/components/weighted/weighted.go
@@ -29,7 +29,7 @@
 
 	mu         sync.Mutex // also keeps lists to the core in order
 	controller *weights.Controller
-	entries    map[string]membership.Entry
+	entries    membership.Servers
 	lastReason weights.Reason
 	hasStarted bool
 }
@@ -37,7 +37,7 @@
 // New returns a HintAdjuster with the plan in the file at path. If the file can't be used it
 // logs a warning and starts without a plan, so that a bad file does not prevent a start.
 func New(host Core, path string, key []byte, cfg weights.Config) *HintAdjuster {
-	w := &HintAdjuster{host: host, path: path, key: key, controller: weights.NewController(cfg), entries: make(map[string]membership.Entry)}
+	w := &HintAdjuster{host: host, path: path, key: key, controller: weights.NewController(cfg), entries: make(membership.Servers)}
 	w.Reload()
 	return w
 }
@@ -71,10 +71,9 @@
 func (w *HintAdjuster) ApplyList(l *membership.List) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if l.Complete {
-		clear(w.entries)
-	}
-	if !w.hasStarted && len(w.entries) == 0 && len(l.Entries) > 0 {
+	isFirst := l.Complete || len(w.entries) == 0
+	w.entries.Apply(l)
+	if !w.hasStarted && isFirst && len(l.Entries) > 0 {
 		w.hasStarted = true
 		nodes := make([]weights.Node, 0, len(l.Entries))
 		for _, e := range l.Entries {
@@ -86,11 +85,6 @@
 	}
 	out := &membership.List{Version: l.Version, Complete: l.Complete, Entries: make([]membership.Entry, 0, len(l.Entries))}
 	for _, e := range l.Entries {
-		if e.State == chalkrack.Gone {
-			delete(w.entries, e.Name)
-		} else {
-			w.entries[e.Name] = e
-		}
 		out.Entries = append(out.Entries, w.withHint(e))
 	}
 	w.host.ApplyList(out)
--- a/internal/components/zones/pools.go
+++ b/internal/components/zones/pools.go
@@ -13,7 +13,7 @@
 // count for no stage's rate, so it uses a zone only while all sidecars do.
 type pool struct {
 	forward func(*membership.List)
-	entries map[string]membership.Entry
+	entries membership.Servers
 	closed  map[string]bool // zones whose servers were passed on as draining last
 }
 
@@ -21,7 +21,7 @@
 // servers of zones that are left, or not back yet, as draining. A pool without a server elsewhere goes on
 // using them.
 func (z *Zones) AddPool(forward func(*membership.List)) (applyList func(*membership.List)) {
-	p := &pool{forward: forward, entries: make(map[string]membership.Entry)}
+	p := &pool{forward: forward, entries: make(membership.Servers)}
 	z.forwardMu.Lock()
 	defer z.forwardMu.Unlock()
 	z.pools = append(z.pools, p)
@@ -32,16 +32,7 @@
 func (z *Zones) applyPoolList(p *pool, l *membership.List) {
 	z.forwardMu.Lock()
 	defer z.forwardMu.Unlock()
-	if l.Complete {
-		clear(p.entries)
-	}
-	for _, e := range l.Entries {
-		if e.State == chalkrack.Gone {
-			delete(p.entries, e.Name)
-		} else {
-			p.entries[e.Name] = e
-		}
-	}
+	p.entries.Apply(l)
 	closed := z.closedZones(p)
 	if len(closed) == 0 && len(p.closed) == 0 {
 		p.forward(l)
--- a/internal/components/zones/zones.go
+++ b/internal/components/zones/zones.go
@@ -54,7 +54,7 @@
 	pools      []*pool    // guarded by forwardMu
 	mu         sync.Mutex // never held during calls to other packages' callbacks
 	machine    *evacuation.Machine
-	entries    map[string]membership.Entry
+	entries    membership.Servers
 	zoneUses   map[string]bool // whether the zone is used, as last passed to the core
 	savedState []evacuation.ZoneState
 }
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("features: %w", err)
 	}
-	z := &Zones{cfg: cfg, machine: m, stop: make(chan struct{}), entries: make(map[string]membership.Entry), zoneUses: make(map[string]bool)}
+	z := &Zones{cfg: cfg, machine: m, stop: make(chan struct{}), entries: make(membership.Servers), zoneUses: make(map[string]bool)}
 	if cfg.Folder != "" {
 		info, err := os.Stat(cfg.Folder)
 		if err != nil || !info.IsDir() {
@@ -228,16 +228,7 @@
 	z.forwardMu.Lock()
 	defer z.forwardMu.Unlock()
 	z.mu.Lock()
-	if list.Complete {
-		clear(z.entries)
-	}
-	for _, e := range list.Entries {
-		if e.State == chalkrack.Gone {
-			delete(z.entries, e.Name)
-		} else {
-			z.entries[e.Name] = e
-		}
-	}
+	z.entries.Apply(list)
 	servers := make([]evacuation.Server, 0, len(z.entries))
 	for _, e := range z.entries {
 		if e.State == chalkrack.Serving {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -22,6 +22,23 @@
 	Entries  []Entry
 }
 
+// Servers holds the servers of one source by name, as its lists so far have them.
+type Servers map[string]Entry
+
+// Apply applies a list: a complete one replaces all servers, another one changes those that it names.
+func (s Servers) Apply(l *List) {
+	if l.Complete {
+		clear(s)
+	}
+	for _, e := range l.Entries {
+		if e.State == chalkrack.Gone {
+			delete(s, e.Name)
+		} else {
+			s[e.Name] = e
+		}
+	}
+}
+
 // ListTracker follows the lists of one source. It decides which lists are used, and after which
 // version the source is asked for changes. It belongs to the client of the source and must
 // not be used concurrently.
--- a/internal/pool/standby.go
+++ b/internal/pool/standby.go
@@ -15,13 +15,13 @@
 	order    []string // of the members
 
 	mu      sync.Mutex
-	entries map[string]membership.Entry // as last listed
-	applied map[string]membership.Entry // as last returned by Apply
+	entries membership.Servers // as last listed
+	applied membership.Servers // as last returned by Apply
 }
 
 // NewStandby returns a Standby for the members of p, none of which is listed yet.
 func (p *Pool) NewStandby() *Standby {
-	s := &Standby{isBackup: make(map[string]bool), entries: make(map[string]membership.Entry), applied: make(map[string]membership.Entry)}
+	s := &Standby{isBackup: make(map[string]bool), entries: make(membership.Servers), applied: make(membership.Servers)}
 	for _, m := range p.members {
 		s.isBackup[m.Name] = m.Backup
 		s.order = append(s.order, m.Name)
@@ -34,9 +34,7 @@
 func (s *Standby) Apply(l *membership.List) *membership.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range l.Entries {
-		s.entries[e.Name] = e
-	}
+	s.entries.Apply(l)
 	othersServe := false
 	for name, e := range s.entries {
 		othersServe = othersServe || e.State == chalkrack.Serving && !s.isBackup[name]
@@ -50,9 +48,9 @@
 		if othersServe && s.isBackup[name] && e.State == chalkrack.Serving {
 			e.State = chalkrack.Draining
 		}
-		s.applied[name] = e
 		whole.Entries = append(whole.Entries, e)
 	}
+	s.applied.Apply(whole)
 	return whole
 }
 
