Times of operators' calls are by the cores' clock, also in the next process

Seen by reading, while "a server called back is served again, cold" was held against the terms (the machine's clock may be stepped): ENABLE, DRAIN and the closing of idle clients took the machine's clock, the cores their own, which is not stepped. Stepped back by an hour after the start, ENABLE gave a start of an hour ago, and the server counted as warm; idle clients of a drain would have stayed. The next process took the times as they were written.

They are the cores' now. The shared state names its clock by the distance to the machine's monotonic one, and the reader converts; a state without it is taken as it is.

TestTimesOfAnotherProcessAreByItsClock fails without the conversion (steps of an hour either way); the package passed five times with the race detector. The step within one process has no test: a test can't step the clock.

--- a/internal/components/operating/handover.go
+++ b/internal/components/operating/handover.go
@@ -46,6 +46,21 @@
 	maintenance.State
 	Drain bool          `json:"drain"`
 	Since time.Duration `json:"since"`
+	// Clock is the clock of the process that wrote the state, relative to handover.MonotonicNow; 0: not
+	// known. The times above are by that clock: the machine's may have been stepped between two starts.
+	Clock time.Duration `json:"clock"`
+}
+
+// convertTo converts the times to the clock of another process.
+func (d *operatorState) convertTo(clock time.Duration) {
+	if d.Clock == 0 {
+		return
+	}
+	d.Since += clock - d.Clock
+	for id := range d.EnabledAt {
+		d.EnabledAt[id] += clock - d.Clock
+	}
+	d.Clock = clock
 }
 
 // openFolder opens the folder that the sidecar's processes share if the platform holds the
@@ -161,6 +176,7 @@
 	if !o.folder.ReadOperatorState(&d) {
 		return
 	}
+	d.convertTo(o.clock)
 	o.pass(o.servers.Adopt(d.State))
 	switch _, on := o.drain.Since(); {
 	case d.Drain && !on:
@@ -181,7 +197,7 @@
 		if err = do(); err != nil {
 			return nil, false
 		}
-		d := operatorState{State: o.servers.State()}
+		d := operatorState{State: o.servers.State(), Clock: o.clock}
 		d.Since, d.Drain = o.drain.Since()
 		return d, true
 	})
--- a/internal/components/operating/operating.go
+++ b/internal/components/operating/operating.go
@@ -56,6 +56,8 @@
 
 	serving atomic.Bool
 
+	clock time.Duration // of now, relative to handover.MonotonicNow
+
 	mu             sync.Mutex // also held while a list is passed to a host, so that lists arrive in order
 	servers        *maintenance.Set
 	platform       *maintenance.Source
@@ -75,6 +77,7 @@
 // changes that operators made there.
 func New(c Config) *Operation {
 	o := &Operation{config: c, servers: maintenance.New(), forward: make(map[*maintenance.Source]func(*membership.List))}
+	o.clock = o.now() - handover.MonotonicNow()
 	o.platform = o.servers.AddSource("", tcpNetwork)
 	o.forward[o.platform] = c.ApplyList
 	if c.Shared && c.Tmp != "" {
@@ -86,7 +89,9 @@
 // SetFront sets the server whose clients are drained. It is called before the process serves.
 func (o *Operation) SetFront(srv *front.Server) { o.srv = srv }
 
-func unixNow() time.Duration { return time.Duration(time.Now().UnixNano()) }
+// now returns the time of the cores, which is the Unix time at the start of the process and is not
+// stepped with the machine's clock.
+func (o *Operation) now() time.Duration { return o.config.Host.Now() }
 
 // Networks of the addresses of servers.
 const (
@@ -202,7 +207,7 @@
 // Enable implements management.Handler.
 func (o *Operation) Enable(id string) error {
 	return o.changeServer("server enabled by an operator", id, func(id string) ([]maintenance.Update, error) {
-		return o.servers.Enable(id, unixNow())
+		return o.servers.Enable(id, o.now())
 	})
 }
 
@@ -227,7 +232,7 @@
 	defer o.mu.Unlock()
 	return o.updateOperatorState(func() error {
 		if _, on := o.drain.Since(); !on {
-			o.beginDrain(unixNow())
+			o.beginDrain(o.now())
 		}
 		return nil
 	})
@@ -277,7 +282,7 @@
 	for {
 		time.Sleep(idleCloseInterval)
 		o.mu.Lock()
-		st := o.drain.State(unixNow())
+		st := o.drain.State(o.now())
 		if o.closed || o.quitting || st == drain.Serving {
 			o.closingIdle = false
 			o.mu.Unlock()
--- a/internal/handover/claims.go
+++ b/internal/handover/claims.go
@@ -237,12 +237,13 @@
 	}
 }
 
-// monotonicSeconds returns a time in seconds that is the same in all processes of a machine and is not
-// stepped.
-func monotonicSeconds() uint64 {
+// MonotonicNow returns a time that is the same in all processes of a machine and is not stepped.
+func MonotonicNow() time.Duration {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
 		return 0
 	}
-	return uint64(now.Sec)
+	return time.Duration(now.Nano())
 }
+
+func monotonicSeconds() uint64 { return uint64(MonotonicNow() / time.Second) }
