A request with a long head and no body is sent; its last byte is one of the head

Cause: sendLong looked for the last byte, which is written last, in the body alone: index -1 where there is none, recovered in the goroutine.

Change: the last byte is that of the last piece that is not empty, the head included.

--- a/internal/upstream/long_heads_test.go
+++ b/internal/upstream/long_heads_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
 
 	"chalkrack"
 	"chalkrack/internal/httphead"
+	"chalkrack/internal/message"
 )
 
 const (
@@ -132,3 +134,56 @@
 	defer p.mu.Unlock()
 	return len(p.servers["s"].idle) == 1
 }
+
+// Guards against a request with a long head that is never sent, because its last byte is not one of a
+// body: heads up to the longest that the front accepts are sent whole, with each kind of body, and their
+// connection is used again.
+func TestLongRequestHeadsAreSent(t *testing.T) {
+	for _, headBytes := range []int{1 << 10, maxInlineSendBytes - 40, maxInlineSendBytes, 12 << 10, testHeadBytes} {
+		for name, body := range map[string][][]byte{"no body": nil, "an empty piece": {{}}, "one byte": {[]byte("b")}, "pieces": {[]byte("bo"), {}, []byte("dy"), {}}} {
+			for _, atMostOnce := range []bool{false, true} {
+				type request struct {
+					field, body string
+					err         error
+				}
+				received := make(chan request, 4)
+				addr, conns := startFakeServer(t, func(c net.Conn, br *bufio.Reader) {
+					for {
+						r, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						text, err := io.ReadAll(r.Body)
+						received <- request{r.Header.Get("Long"), string(text), err}
+						io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					}
+				})
+				p := newPool(4)
+				p.AddServer("s", addr, 0)
+				size := 0
+				for _, piece := range body {
+					size += len(piece)
+				}
+				field := strings.Repeat("x", headBytes)
+				for range 2 {
+					s := newSink()
+					a := newGetAttempt(s)
+					a.AtMostOnce = atMostOnce
+					a.Request.Method, a.Request.Body = "POST", body
+					a.Request.Head = message.AppendLength([]byte("POST /x HTTP/1.1\r\nHost: h\r\nLong: "+field+"\r\n"), int64(size))
+					p.Start(a)
+					if r := s.wait(t); r.outcome != chalkrack.OK || r.body != "ok" {
+						t.Fatalf("%d bytes, %s, at most once %v: %+v", headBytes, name, atMostOnce, r)
+					}
+					if r := <-received; r.field != field || len(r.body) != size || r.err != nil {
+						t.Errorf("%d bytes, %s: the server received a field of %d bytes and a body of %d, %v", headBytes, name, len(r.field), len(r.body), r.err)
+					}
+				}
+				if len(conns) != 1 || p.Conns() != 1 {
+					t.Errorf("%d bytes, %s: %d connections were opened, %d are held; want one", headBytes, name, len(conns), p.Conns())
+				}
+				p.Close()
+			}
+		}
+	}
+}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"slices"
 	"strconv"
 	"time"
 
@@ -123,18 +122,18 @@
 	a.discardConn(c, outcome, errSendBlocked)
 }
 
-// sendLong writes a long request. The last byte is written with the lock held and only if the
+// sendLong writes a long request, whose last byte may be one of the head. That byte is written with the lock held and only if the
 // attempt was not abandoned meanwhile, so that no server begins the request after the call's
 // final answer.
 func (a *Attempt) sendLong(c *conn, head []byte, size int) {
-	body := slices.Clone(a.Request.Body)
-	lastPiece := len(body) - 1
-	for len(body[lastPiece]) == 0 {
+	pieces := append(net.Buffers{head}, a.Request.Body...)
+	lastPiece := len(pieces) - 1
+	for len(pieces[lastPiece]) == 0 { // the head is not empty
 		lastPiece--
 	}
-	last := body[lastPiece][len(body[lastPiece])-1:]
-	body[lastPiece] = body[lastPiece][:len(body[lastPiece])-1]
-	pieces := append(net.Buffers{head}, body...)
+	withoutLast := len(pieces[lastPiece]) - 1
+	last := pieces[lastPiece][withoutLast:]
+	pieces[lastPiece] = pieces[lastPiece][:withoutLast]
 	n, err := pieces.WriteTo(c.Conn)
 	a.mu.Lock()
 	complete := n == int64(size-1)
